--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format bench campaign install
+
+install: $(VENV)/installed
+
+$(VENV)/installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: install
+	$(BIN)/python examples/demo.py
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff check .
+	$(BIN)/pyink --quiet --check .
+	$(BIN)/mypy
+
+format: install
+	$(BIN)/ruff check --fix .
+	$(BIN)/pyink --quiet .
+
+bench: install
+	$(BIN)/python -m bench
+
+campaign: install
+	$(BIN)/python -m pytest tests/test_replica.py tests/test_leases.py --hypothesis-profile=campaign --hypothesis-show-statistics
--- /dev/null
+++ b/src/pollenseam/announcing.py
@@ -0,0 +1,172 @@
+"""Announcements of upstreams: checked, then put into the membership."""
+
+from typing import Annotated
+from typing import Literal
+
+import msgspec
+
+from pollenseam import catalog
+from pollenseam import errors
+from pollenseam import flags
+from pollenseam import keys
+from pollenseam import members
+from pollenseam import messages
+from pollenseam import vm
+
+MAX_SLOTS = 100_000
+MAX_BODY_BYTES = 4096
+
+
+class Announcement(msgspec.Struct, forbid_unknown_fields=True):
+    """What an upstream says of itself; see the upstreams' page."""
+
+    service: str
+    upstream: Annotated[str, msgspec.Meta(pattern="^[a-z0-9][a-z0-9.-]{0,62}$")]
+    address: str
+    region: str
+    failure_domain: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+    state: Literal["starting", "serving", "leaving", "gone"]
+    ttl_ms: Annotated[int, msgspec.Meta(ge=100, le=members.MAX_TTL_MS)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
+    load: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+_decode = msgspec.json.Decoder(Announcement).decode
+
+
+def parse(body: bytes) -> Announcement:
+    """Returns the announcement in a request body.
+
+    Raises:
+        RefusedError: It is malformed.
+    """
+    if len(body) > MAX_BODY_BYTES:
+        raise errors.refuse(
+            errors.Kind.BODY_TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes"
+        )
+    try:
+        found = _decode(body)
+        flags.check_address("address", found.address)
+    except msgspec.DecodeError as error:
+        raise errors.refuse(errors.Kind.MALFORMED, str(error)) from error
+    except errors.FlagError as error:
+        detail = "address is not IP:PORT"
+        raise errors.refuse(errors.Kind.MALFORMED, detail) from error
+    return found
+
+
+def accept(own: vm.Vm, text: str | None, announcement: Announcement) -> int:
+    """Takes an announcement in.
+
+    Args:
+        own: The VM's view.
+        text: The announcing key.
+        announcement: What the upstream says.
+
+    Returns:
+        Milliseconds until the upstream should announce again.
+
+    Raises:
+        RefusedError: The key, the place or the incarnation is wrong.
+    """
+    service = own.catalog.names.get(announcement.service)
+    key = check_key(own, text)
+    if service is None:
+        raise errors.refuse(
+            errors.Kind.NO_ROUTE, f"no service {announcement.service!r}"
+        )
+    if key.owner != service.path:
+        raise errors.refuse(
+            errors.Kind.FORBIDDEN, f"the key does not announce {service.path}"
+        )
+    _check_place(own, announcement)
+    known = own.directory.upstreams.get((service.path, announcement.upstream))
+    if not own.is_fresh():
+        _check_renewal(known, announcement)
+    record = _record(service, announcement, known)
+    if not own.directory.merge_upstream(record, own.now()):
+        raise errors.refuse(
+            errors.Kind.CONFLICT, "a later announcement is known"
+        )
+    if known is None or known.record.state != announcement.state:
+        own.log.emit(
+            "upstream-announced",
+            service=service.path,
+            upstream=announcement.upstream,
+            state=announcement.state,
+            incarnation=announcement.incarnation,
+        )
+    return announcement.ttl_ms // 3
+
+
+def check_key(own: vm.Vm, text: str | None) -> catalog.Key:
+    """Returns the key that a caller or upstream presents.
+
+    Raises:
+        RefusedError: There is none, or it is not known.
+    """
+    if text is None:
+        raise errors.refuse(
+            errors.Kind.KEY_MISSING, "send the key as Authorization: Bearer KEY"
+        )
+    secret = keys.parse(text)
+    known = own.catalog.keys.get(secret.id) if secret is not None else None
+    if known is None or not keys.matches(text, known.digest):
+        raise errors.refuse(errors.Kind.KEY_UNKNOWN, "the key is not known")
+    return known
+
+
+def _check_place(own: vm.Vm, announcement: Announcement) -> None:
+    place = (announcement.region, announcement.failure_domain)
+    if place != (own.flags.region, own.flags.failure_domain):
+        raise errors.refuse(
+            errors.Kind.FORBIDDEN,
+            f"announce to a VM of {announcement.failure_domain}; this one "
+            f"stands in {own.flags.region}, {own.flags.failure_domain}",
+        )
+
+
+def _check_renewal(
+    known: members.KnownUpstream | None, announcement: Announcement
+) -> None:
+    # Settings that are not fresh may hold a withdrawn key. It may keep what
+    # it has for open routes, or take it away, but bring in nothing new.
+    if announcement.state in ("leaving", "gone"):
+        return
+    same = known is not None and (
+        known.record.incarnation == announcement.incarnation
+        and known.record.address == announcement.address
+    )
+    if not same:
+        raise errors.refuse(
+            errors.Kind.NOT_FRESH, "this VM's settings are not fresh"
+        )
+
+
+def _record(
+    service: catalog.Service,
+    announcement: Announcement,
+    known: members.KnownUpstream | None,
+) -> messages.Upstream:
+    beat = 1
+    same = known is not None and (
+        known.record.incarnation == announcement.incarnation
+    )
+    if known is not None and same:
+        beat = known.record.beat + 1
+    return messages.Upstream(
+        service.path,
+        announcement.upstream,
+        announcement.incarnation,
+        beat,
+        announcement.state,
+        announcement.address,
+        announcement.region,
+        announcement.failure_domain,
+        announcement.slots,
+        announcement.connections,
+        announcement.load,
+        announcement.ttl_ms,
+    )
--- /dev/null
+++ b/src/pollenseam/buckets.py
@@ -0,0 +1,212 @@
+"""Token buckets that leases fill: the holder's side of leased shares."""
+
+from collections.abc import Iterable
+
+from pollenseam import leases
+
+DEMAND_WEIGHT = 0.2
+MAX_RESOURCES = 4096
+
+
+class Lease:
+    """A holder's share of one resource.
+
+    Attributes:
+        rate: Per second.
+        burst: Above the rate.
+        deadline: Holder's time after which it may use nothing.
+    """
+
+    __slots__ = ("rate", "burst", "deadline")
+
+    def __init__(self, rate: float, burst: float, deadline: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.deadline = deadline
+
+
+class Bucket:
+    """A token bucket that is filled by a lease; it starts empty.
+
+    Attributes:
+        lease: What fills it, or None before the first lease.
+        tokens: Tokens at `filled_at`.
+        filled_at: Time of the last fill.
+        surplus: Tokens that a smaller burst had no room for; to be returned.
+    """
+
+    __slots__ = ("lease", "tokens", "filled_at", "surplus")
+
+    def __init__(self, now: float) -> None:
+        self.lease: Lease | None = None
+        self.tokens = 0.0
+        self.surplus = 0.0
+        self.filled_at = now
+
+    def renew(self, share: leases.Share, deadline: float, now: float) -> None:
+        """Takes a new share; tokens above its burst become surplus."""
+        self._fill(now)
+        self.lease = Lease(share.rate, share.burst, deadline)
+        tokens = self.tokens + share.tokens
+        self.tokens = min(tokens, share.burst)
+        self.surplus = tokens - self.tokens
+
+    def give_surplus(self) -> float:
+        """Returns the surplus, which is then no longer the holder's."""
+        surplus = self.surplus
+        self.surplus = 0.0
+        return surplus
+
+    def take(self, now: float) -> bool:
+        """Takes one token; False when there is none."""
+        self._fill(now)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def available_at(self, count: float, now: float) -> float:
+        """Returns the time at which `count` tokens will be there.
+
+        Infinite when the lease is too small or ends before then.
+        """
+        self._fill(now)
+        lease = self.lease
+        if lease is None or lease.deadline <= now:
+            return float("inf")
+        if self.tokens >= count:
+            return now
+        if lease.rate <= 0 or lease.burst < 1.0:
+            return float("inf")
+        at = now + (count - self.tokens) / lease.rate
+        return at if at < lease.deadline else float("inf")
+
+    def held(self, now: float) -> leases.Whole:
+        """Returns what the holder counts as its own now."""
+        lease = self.lease
+        if lease is None or lease.deadline <= now:
+            return leases.Whole(0.0, 0.0)
+        return leases.Whole(lease.rate, lease.burst)
+
+    def _fill(self, now: float) -> None:
+        lease = self.lease
+        until = now
+        if lease is None:
+            self.filled_at = now
+            return
+        until = min(now, lease.deadline)
+        elapsed = max(0.0, until - self.filled_at)
+        self.tokens = min(lease.burst, self.tokens + elapsed * lease.rate)
+        self.filled_at = now
+        if now >= lease.deadline:
+            self.tokens = 0.0
+            self.surplus = 0.0
+
+
+class Demand:
+    """A smoothed rate of arrivals.
+
+    Attributes:
+        rate: Per second.
+        count: Arrivals since `since`.
+        since: Time of the last update.
+    """
+
+    __slots__ = ("rate", "count", "since")
+
+    def __init__(self, now: float) -> None:
+        self.rate = 0.0
+        self.count = 0
+        self.since = now
+
+    def update(self, now: float, weight: float) -> float:
+        """Folds the arrivals since the last update in; returns the rate."""
+        elapsed = now - self.since
+        if elapsed <= 0:
+            return self.rate
+        recent = self.count / elapsed
+        # A rise counts at once, a fall slowly: it is cheaper to hold a
+        # share for a second too long than to refuse a request.
+        if recent > self.rate:
+            self.rate = recent
+        else:
+            self.rate += (recent - self.rate) * weight
+        self.count = 0
+        self.since = now
+        return self.rate
+
+
+class Account:
+    """What one VM holds and wants of one resource.
+
+    Attributes:
+        bucket: What it may use.
+        demand: How much it is asked for.
+        waiting: Requests that wait for a token now.
+        renewals: Count of renewals so far.
+    """
+
+    __slots__ = ("bucket", "demand", "waiting", "renewals")
+
+    def __init__(self, now: float) -> None:
+        self.bucket = Bucket(now)
+        self.demand = Demand(now)
+        self.waiting = 0
+        self.renewals = 0
+
+
+class Book:
+    """All resources that one VM holds shares of.
+
+    Attributes:
+        accounts: By resource.
+    """
+
+    __slots__ = ("accounts",)
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, Account] = {}
+
+    def account(self, resource: str, now: float) -> Account:
+        """Returns the account of a resource, making an empty one."""
+        account = self.accounts.get(resource)
+        if account is None:
+            account = self.accounts[resource] = Account(now)
+        return account
+
+    def keep(self, resources: Iterable[str], now: float) -> None:
+        """Keeps accounts for exactly these resources."""
+        wanted = set(resources)
+        for resource in self.accounts.keys() - wanted:
+            if self.accounts[resource].waiting == 0:
+                del self.accounts[resource]
+        for resource in sorted(wanted)[:MAX_RESOURCES]:
+            self.account(resource, now)
+
+    def requests(self, now: float) -> dict[str, leases.Request]:
+        """Returns what to report and ask for, by resource.
+
+        Surplus tokens go out with it: if the message is lost, so are they.
+        """
+        asked: dict[str, leases.Request] = {}
+        for resource, account in self.accounts.items():
+            bucket = account.bucket
+            held = bucket.held(now)
+            rate = account.demand.update(now, DEMAND_WEIGHT)
+            wanted = max(0.0, account.waiting - bucket.tokens)
+            asked[resource] = leases.Request(
+                held, rate, bucket.give_surplus(), wanted
+            )
+        return asked
+
+    def renew(
+        self, resource: str, share: leases.Share, deadline: float, now: float
+    ) -> bool:
+        """Takes a share in; True when it shrank, which should be reported."""
+        account = self.accounts.get(resource)
+        if account is None:
+            return False
+        before = account.bucket.held(now)
+        account.bucket.renew(share, deadline, now)
+        account.renewals += 1
+        return share.rate < before.rate or share.burst < before.burst
--- /dev/null
+++ b/src/pollenseam/claiming.py
@@ -0,0 +1,196 @@
+"""At-most-once requests: claim first, send once, store the answer."""
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+
+import aiohttp
+
+from pollenseam import claims
+from pollenseam import commands
+from pollenseam import errors
+from pollenseam import forwarder
+from pollenseam import headers
+from pollenseam import submitter
+from pollenseam import vm
+
+MAX_STORED_BYTES = 256 * 1024
+MAX_STORED_HEADERS = 64
+STORE_SECONDS = 60.0
+NOT_STORED = "Pollenseam-Body-Not-Stored"
+
+
+class Claiming:
+    """Runs at-most-once requests of one entry VM.
+
+    Attributes:
+        vm: The VM's view.
+        running: Tasks that outlive their caller's connection.
+    """
+
+    def __init__(
+        self,
+        own: vm.Vm,
+        sender: forwarder.Forwarder,
+        finder: submitter.Submitter,
+    ) -> None:
+        self.vm = own
+        self.forwarder = sender
+        self.submitter = finder
+        self.running: set[asyncio.Task[object]] = set()
+        self._attempts = itertools.count(1)
+
+    async def run(
+        self, exchange: forwarder.Exchange, key: str
+    ) -> commands.StoredAnswer:
+        """Returns the answer to an at-most-once request.
+
+        The request goes on when the caller goes away, so that a resend
+        finds its answer.
+
+        Raises:
+            RefusedError: It was not run, or its outcome is not known.
+        """
+        check_key(key)
+        claim = self._claim(exchange, key)
+        outcome = await self._open(claim, exchange)
+        if outcome.answer is not None:
+            self._log("claim-replayed", claim)
+            return outcome.answer
+        if outcome.kind:
+            raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
+        task = self._spawn(self._send(exchange, claim))
+        return await asyncio.shield(task)
+
+    def _claim(
+        self, exchange: forwarder.Exchange, key: str
+    ) -> commands.OpenClaim:
+        request = exchange.request
+        head = f"{request.method} {exchange.route.node.host} {exchange.target}"
+        digest = hashlib.sha256(head.encode() + b"\0" + (exchange.body or b""))
+        left_ms = int((exchange.deadline - self.vm.now()) * 1000)
+        return commands.OpenClaim(
+            exchange.workspace or exchange.route.service.path,
+            key,
+            digest.hexdigest(),
+            f"{self.vm.holder}/{next(self._attempts)}",
+            max(1, left_ms),
+        )
+
+    def _spawn(self, coroutine):  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(coroutine)
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        return task
+
+    async def _open(
+        self, claim: commands.OpenClaim, exchange: forwarder.Exchange
+    ) -> commands.Outcome:
+        try:
+            return await self.submitter.submit(claim, exchange.deadline)
+        except errors.UnreachableError as error:
+            # The claim may yet be recorded; it must not block a resend.
+            self._spawn(self._release(claim))
+            raise errors.refuse(
+                errors.Kind.NO_QUORUM,
+                "no control replica recorded the claim in time",
+            ) from error
+        except asyncio.CancelledError:
+            self._spawn(self._release(claim))
+            raise
+
+    async def _send(
+        self, exchange: forwarder.Exchange, claim: commands.OpenClaim
+    ) -> commands.StoredAnswer:
+        try:
+            answer = await self._forward(exchange)
+        except errors.RefusedError as error:
+            self._log("claim-failed", claim, executed=error.refusal.executed)
+            if error.refusal.executed == "no":
+                await self._release(claim)
+            raise
+        self._spawn(self._store(claim, answer))
+        return answer
+
+    async def _forward(
+        self, exchange: forwarder.Exchange
+    ) -> commands.StoredAnswer:
+        answer = await self.forwarder.send(exchange)
+        is_whole = False
+        response = answer.response
+        try:
+            deadline = vm.loop_deadline(exchange.deadline)
+            async with asyncio.timeout_at(deadline):
+                body = await response.read()
+            is_whole = True
+        except TimeoutError as error:
+            raise errors.refuse(
+                errors.Kind.DEADLINE, "the answer was not whole in time"
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise errors.refuse(
+                errors.Kind.UPSTREAM_FAILED, "the answer was cut"
+            ) from error
+        finally:
+            self.forwarder.finish(answer, is_whole)
+        pairs = [
+            (str(name), value)
+            for name, value in headers.to_caller(response.headers.items())
+        ]
+        return commands.StoredAnswer(response.status, pairs, body)
+
+    async def _store(
+        self, claim: commands.OpenClaim, answer: commands.StoredAnswer
+    ) -> None:
+        pairs = answer.headers[:MAX_STORED_HEADERS]
+        body = answer.body
+        if len(body) > MAX_STORED_BYTES:
+            pairs = [*pairs, (NOT_STORED, str(len(body)))]
+            body = b""
+        stored = commands.StoredAnswer(answer.status, pairs, body)
+        command = commands.CloseClaim(
+            claim.workspace, claim.key, claim.attempt, stored
+        )
+        deadline = self.vm.now() + STORE_SECONDS
+        with contextlib.suppress(errors.UnreachableError):
+            await self.submitter.submit(command, deadline)
+            self._log("claim-stored", claim, status=answer.status)
+
+    async def _release(self, claim: commands.OpenClaim) -> None:
+        command = commands.ReleaseClaim(
+            claim.workspace, claim.key, claim.attempt
+        )
+        deadline = self.vm.now() + STORE_SECONDS
+        with contextlib.suppress(errors.UnreachableError):
+            await self.submitter.submit(command, deadline)
+
+    def _log(
+        self, event: str, claim: commands.OpenClaim, **fields: object
+    ) -> None:
+        self.vm.log.emit(
+            event,
+            workspace=claim.workspace,
+            request=claim.attempt,
+            claim=hashlib.sha256(claim.key.encode()).hexdigest()[:12],
+            **fields,
+        )
+
+    async def drain(self, deadline: float) -> None:
+        """Waits for all running requests and stored answers."""
+        while self.running and self.vm.now() < deadline:
+            await asyncio.wait(self.running, timeout=0.1)
+
+
+def check_key(key: str) -> None:
+    """Refuses an idempotency key that cannot be stored.
+
+    Raises:
+        RefusedError: It is empty, too long or not printable.
+    """
+    if not key or len(key) > claims.MAX_KEY_CHARACTERS or not key.isprintable():
+        raise errors.refuse(
+            errors.Kind.MALFORMED,
+            f"{headers.IDEMPOTENCY_KEY} has 1 to {claims.MAX_KEY_CHARACTERS} "
+            "printable characters",
+        )
--- /dev/null
+++ b/src/pollenseam/cli.py
@@ -0,0 +1,578 @@
+"""The command-line tool `pollenseam`."""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import re
+import sys
+import tomllib
+from collections.abc import Sequence
+from typing import Any
+
+import defopt
+import msgspec
+
+from pollenseam import client
+from pollenseam import errors
+from pollenseam import flags
+from pollenseam import keys
+from pollenseam import operators
+from pollenseam import settings
+from pollenseam import timeline as timelines
+
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 5
+WAIT_SECONDS = 30.0
+EPILOG = """
+Everywhere: --control IP:PORT,... (or POLLENSEAM_CONTROL) names VMs to ask;
+--token TOKEN (or POLLENSEAM_TOKEN) is the operator's token; --json prints
+JSON; --tls talks HTTPS. Exit codes: 0 done; 2 usage or bad file; 3 conflict;
+4 not permitted; 5 unreachable or outcome unknown (resending with the same
+change id is safe).
+"""
+
+
+class Usage(errors.PollenseamError):
+    """The command line or a file is wrong."""
+
+
+class Options:
+    """What holds for every command.
+
+    Attributes:
+        control: Addresses of VMs.
+        token: The operator's token.
+        as_json: Whether to print JSON.
+        tls: Whether to talk HTTPS.
+    """
+
+    __slots__ = ("control", "token", "as_json", "tls")
+
+    def __init__(
+        self, control: str, token: str, as_json: bool, tls: bool
+    ) -> None:
+        self.control = [part for part in control.split(",") if part]
+        self.token = token
+        self.as_json = as_json
+        self.tls = tls
+
+
+_options = Options("", "", False, False)
+
+
+def _client() -> client.Client:
+    if not _options.control:
+        raise Usage("give --control IP:PORT or POLLENSEAM_CONTROL")
+    if not _options.token:
+        raise Usage("give --token or POLLENSEAM_TOKEN")
+    try:
+        addresses = [
+            flags.check_address("control", a) for a in _options.control
+        ]
+    except errors.FlagError as error:
+        raise Usage(str(error)) from error
+    scheme = "https" if _options.tls else "http"
+    return client.Client(addresses, _options.token, scheme)
+
+
+def _print(answer: Any, text: str) -> None:
+    print(msgspec.json.encode(answer).decode() if _options.as_json else text)
+
+
+# Reading.
+
+
+def status() -> None:
+    """Shows VMs, replicas, upstreams, shares and refusals at a glance."""
+    answer = asyncio.run(_client().get("status"))
+    _print(answer, _status_text(answer))
+
+
+def _status_text(answer: dict[str, Any]) -> str:
+    fresh = "fresh" if answer["fresh"] else "NOT FRESH"
+    lines = [
+        f"{answer['vm']}: {answer['state']}, settings {fresh}, "
+        f"index {answer['settings_index']}, "
+        f"age {answer['settings_age_ms']} ms",
+        f"leader: {answer['leader'] or 'not known here'}"
+        + (f", term {answer['term']}" if answer["term"] else ""),
+        "",
+        f"{'VM':14}{'STATE':10}{'REGION':14}{'DOMAIN':12}{'ADDRESS':22}"
+        f"{'INDEX':>7}{'AGE MS':>8}{'LOAD':>7}",
+    ]
+    for vm in answer["vms"]:
+        state = "suspect" if vm["suspect"] else vm["state"]
+        lines.append(
+            f"{vm['name']:14}{state:10}{vm['region']:14}"
+            f"{vm['failure_domain']:12}{vm['address']:22}"
+            f"{vm['index']:7}{vm['age_ms']:8}{vm['load']:7.2f}"
+        )
+    lines.append("")
+    for replica in answer["replicas"]:
+        lines.append(
+            f"replica {replica['id']:24}{replica['role']:9}"
+            f"{replica['address']}"
+        )
+    for service, states in sorted(answer["upstreams"].items()):
+        counts = ", ".join(f"{n} {s}" for s, n in sorted(states.items()))
+        lines.append(f"upstreams of {service}: {counts}")
+    for path, state in sorted(answer["shifts"].items()):
+        lines.append(f"shift {path}: {state}")
+    for resource, rate in sorted(answer["shares"].items()):
+        lines.append(f"share of {resource}: {rate:.1f}/s")
+    for kind, count in sorted(answer["refused"].items()):
+        lines.append(f"refused {kind}: {count}")
+    if answer["worst_workspace"]:
+        lines.append(f"most refused workspace: {answer['worst_workspace']}")
+    return "\n".join(lines)
+
+
+def get(path: str = "/") -> None:
+    """Prints the settings at a path, linearizably.
+
+    Args:
+        path: Path in the settings tree.
+    """
+    answer = asyncio.run(_client().get("tree", path=path))
+    lines = [f"{path} version {answer['version']}"]
+    for name, node in answer["nodes"].items():
+        node = {k: v for k, v in node.items() if k != "type"}
+        lines.append(f"{name} {msgspec.json.encode(node).decode()}")
+    _print(answer, "\n".join(lines))
+
+
+def check(file: str, *, at: str = "/") -> None:
+    """Checks a settings file without applying it.
+
+    Args:
+        file: TOML file.
+        at: Path that the file's root stands at.
+    """
+    nodes = _read(file, at)
+    _print({"nodes": len(nodes)}, f"{file}: {len(nodes)} nodes, all valid")
+
+
+def diff(file: str, *, at: str = "/") -> None:
+    """Shows what applying a file would change.
+
+    Args:
+        file: TOML file.
+        at: Path that the file's root stands at.
+    """
+    new = _read(file, at)
+    answer = asyncio.run(_client().get("tree", path=at))
+    old = {
+        path: node
+        for path, node in answer["nodes"].items()
+        if node["type"] not in ("key", "operator")
+    }
+    lines = []
+    for path in sorted(old.keys() | new.keys()):
+        wanted = msgspec.to_builtins(new[path]) if path in new else None
+        if path in old and wanted is not None:
+            for name in ("state", "started_ms"):
+                if name in old[path]:
+                    wanted[name] = old[path][name]
+        if path not in old:
+            lines.append(f"+ {path} {msgspec.json.encode(wanted).decode()}")
+        elif wanted is None:
+            lines.append(f"- {path}")
+        elif wanted != old[path]:
+            lines.append(f"~ {path} {msgspec.json.encode(wanted).decode()}")
+    _print(
+        {"version": answer["version"], "changes": lines},
+        "\n".join(lines) or f"{at} is as in {file}",
+    )
+
+
+def _read(file: str, at: str) -> settings.Nodes:
+    try:
+        document = tomllib.loads(pathlib.Path(file).read_text())
+    except OSError as error:
+        raise Usage(f"{file}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise Usage(f"{file}: {error}") from error
+    parsed = settings.parse(document, at)
+    if parsed.is_err():
+        text = pathlib.Path(file).read_text()
+        raise Usage(
+            "\n".join(
+                f"{file}:{_line(text, p.path)}: {p.path}: {p.reason}"
+                for p in parsed.unwrap_err()
+            )
+        )
+    return parsed.unwrap()
+
+
+def _line(text: str, path: str) -> int:
+    """Returns the line that most likely holds a path of a TOML file."""
+    names = [re.sub(r"\[\d+\]", "", n) for n in path.strip("/").split("/")]
+    best = 1
+    depth = 0
+    for number, line in enumerate(text.splitlines(), 1):
+        stripped = line.strip()
+        if stripped.startswith("["):
+            table = stripped.strip("[] ").replace('"', "").split(".")
+            if names[: len(table)] == table and len(table) >= depth:
+                best = number
+                depth = len(table)
+        elif depth and stripped.split("=")[0].strip() == names[-1]:
+            return number
+    return best
+
+
+# Changing.
+
+
+def apply(
+    file: str,
+    *,
+    at: str = "/",
+    expect_version: int | None = None,
+    change_id: str = "",
+    wait: bool = False,
+) -> None:
+    """Replaces a subtree by a settings file, whole or not at all.
+
+    Args:
+        file: TOML file.
+        at: Path that the file's root stands at.
+        expect_version: Refuse if the subtree is at another version.
+        change_id: Makes a resend safe; one is made up if not given.
+        wait: Wait until every VM has it in force.
+    """
+    _read(file, at)
+    document = tomllib.loads(pathlib.Path(file).read_text())
+    change_id = change_id or client.new_change_id()
+    request = operators.ApplyRequest(document, change_id, at, expect_version)
+    _change("apply", request, change_id, wait)
+
+
+def _change(
+    page: str, request: msgspec.Struct, change_id: str, wait: bool = False
+) -> None:
+    caller = _client()
+
+    async def run() -> dict[str, Any]:
+        answer: dict[str, Any] = await caller.post(page, request)
+        if wait:
+            answer["in_force"] = await caller.wait_in_force(
+                answer["index"], WAIT_SECONDS
+            )
+        return answer
+
+    try:
+        answer = asyncio.run(run())
+    except errors.RefusedError as error:
+        if error.refusal.executed == "unknown":
+            print(f"change id: {change_id}", file=sys.stderr)
+        raise
+    except errors.UnreachableError:
+        print(f"change id: {change_id}", file=sys.stderr)
+        raise
+    answer["change_id"] = change_id
+    text = f"version {answer['version']}"
+    if wait:
+        everywhere = "everywhere" if answer["in_force"] else "NOT everywhere"
+        text += f", in force {everywhere}"
+    _print(answer, text)
+
+
+def key_issue(path: str, *, change_id: str = "") -> None:
+    """Issues a key and prints it; only its digest is stored.
+
+    The key of a workspace admits its callers; the key of a service lets
+    upstreams announce themselves for it. To resend after a lost answer, give
+    the printed key in POLLENSEAM_SECRET with the same change id.
+
+    Args:
+        path: Path of a workspace or a service.
+        change_id: Makes a resend safe; one is made up if not given.
+    """
+    _issue("keys/issue", path, change_id)
+
+
+def operator_issue(path: str, *, change_id: str = "") -> None:
+    """Issues an operator's token that owns a subtree, and prints it.
+
+    Args:
+        path: Subtree that the token owns, as /teams/NAME.
+        change_id: Makes a resend safe; one is made up if not given.
+    """
+    _issue("operators/issue", path, change_id)
+
+
+def _issue(page: str, path: str, change_id: str) -> None:
+    text = flags.secret_from_environment("SECRET")
+    secret = keys.parse(text) if text else keys.generate()
+    if secret is None:
+        raise Usage("POLLENSEAM_SECRET is not a key")
+    change_id = change_id or client.new_change_id()
+    request = operators.IssueRequest(path, secret.id, secret.digest, change_id)
+    try:
+        answer = asyncio.run(_client().post(page, request))
+    except errors.PollenseamError:
+        print(f"change id: {change_id}\nkey: {secret.text}", file=sys.stderr)
+        raise
+    answer |= {"id": secret.id, "secret": secret.text, "change_id": change_id}
+    _print(answer, secret.text)
+
+
+def key_list(path: str = "/") -> None:
+    """Lists the ids of keys, with what they open.
+
+    Args:
+        path: Path above the keys.
+    """
+    _list_nodes(path, "key")
+
+
+def operator_list() -> None:
+    """Lists the ids of operators' tokens, with what they own."""
+    _list_nodes("/", "operator")
+
+
+def _list_nodes(path: str, type_: str) -> None:
+    answer = asyncio.run(_client().get("tree", path=path))
+    found = {
+        name.rpartition("/")[2]: node.get("subtree")
+        or name.rpartition("/keys/")[0]
+        for name, node in answer["nodes"].items()
+        if node["type"] == type_
+    }
+    text = "\n".join(f"{id} {opens}" for id, opens in found.items())
+    _print(found, text)
+
+
+def key_withdraw(id: str, *, change_id: str = "", wait: bool = False) -> None:
+    """Withdraws a key; it stops working within seconds, everywhere.
+
+    Args:
+        id: Id of the key; the key itself is taken too.
+        change_id: Makes a resend safe; one is made up if not given.
+        wait: Wait until every VM has it in force.
+    """
+    _withdraw("keys/withdraw", id, change_id, wait)
+
+
+def operator_withdraw(
+    id: str, *, change_id: str = "", wait: bool = False
+) -> None:
+    """Withdraws an operator's token.
+
+    Args:
+        id: Id of the token; the token itself is taken too.
+        change_id: Makes a resend safe; one is made up if not given.
+        wait: Wait until every VM has it in force.
+    """
+    _withdraw("operators/withdraw", id, change_id, wait)
+
+
+def _withdraw(page: str, id: str, change_id: str, wait: bool) -> None:
+    secret = keys.parse(id)
+    change_id = change_id or client.new_change_id()
+    request = operators.WithdrawRequest(secret.id if secret else id, change_id)
+    _change(page, request, change_id, wait)
+
+
+def shift_start(path: str, *, change_id: str = "", wait: bool = False) -> None:
+    """Starts a planned shift; it ramps up to its cap.
+
+    Args:
+        path: Path of the shift.
+        change_id: Makes a resend safe; one is made up if not given.
+        wait: Wait until every VM has it in force.
+    """
+    _set_shift(path, "running", change_id, wait)
+
+
+def shift_stop(path: str, *, change_id: str = "", wait: bool = False) -> None:
+    """Stops a shift; traffic returns at once.
+
+    Args:
+        path: Path of the shift.
+        change_id: Makes a resend safe; one is made up if not given.
+        wait: Wait until every VM has it in force.
+    """
+    _set_shift(path, "stopped", change_id, wait)
+
+
+def _set_shift(path: str, state: str, change_id: str, wait: bool) -> None:
+    change_id = change_id or client.new_change_id()
+    request = operators.ShiftRequest(path, state, change_id)
+    _change("shift", request, change_id, wait)
+
+
+def shift_status(path: str = "/") -> None:
+    """Shows shifts and their states.
+
+    Args:
+        path: Path of a shift, or above several.
+    """
+    answer = asyncio.run(_client().get("tree", path=path))
+    found = {
+        name: node
+        for name, node in answer["nodes"].items()
+        if node["type"] == "shift"
+    }
+    lines = [
+        f"{name}: {node.get('state', 'planned')}, {node['service']} from "
+        f"{node['from']} to {node['to']}, at most {node['cap']:g}/s"
+        for name, node in found.items()
+    ]
+    _print(found, "\n".join(lines))
+
+
+def replica_list() -> None:
+    """Lists the control replicas; ask a VM with a data folder."""
+    answer = asyncio.run(_client().get("replicas"))
+    lines = [f"{r['id']} {r['role']} {r['address']}" for r in answer]
+    _print(answer, "\n".join(lines))
+
+
+def replica_add(name: str, address: str) -> None:
+    """Adds a VM with a data folder as a control replica.
+
+    It receives the log first and votes once it has caught up.
+
+    Args:
+        name: Name of the VM.
+        address: Its peer address, IP:PORT.
+    """
+    request = operators.ReplicaRequest(name, address)
+    answer = asyncio.run(_client().post("replicas", request))
+    _print(answer, f"{name} added as a learner; it votes once caught up")
+
+
+def replica_remove(name: str) -> None:
+    """Removes a control replica.
+
+    Args:
+        name: Name of the VM, or replica id where a name has two.
+    """
+    request = operators.ReplicaRequest(name)
+    answer = asyncio.run(_client().post("replicas", request))
+    _print(answer, f"{name} removed")
+
+
+def timeline(
+    *files: str,
+    request: str = "",
+    workspace: str = "",
+    upstream: str = "",
+    vm: str = "",
+    event: str = "",
+    any: str = "",
+) -> None:
+    """Merges event logs of several VMs in causal order.
+
+    Args:
+        files: Log files of daemons.
+        request: Only this request's events.
+        workspace: Only this workspace's path.
+        upstream: Only this upstream's name.
+        vm: Only this VM's events.
+        event: Only this kind of event.
+        any: Only events with this text in any value.
+    """
+    wanted = {
+        "request": request,
+        "workspace": workspace,
+        "upstream": upstream,
+        "vm": vm,
+        "event": event,
+        "any": any,
+    }
+    filters = {name: value for name, value in wanted.items() if value}
+    sources = [_open_lines(file) for file in files]
+    for found in timelines.merge(sources):
+        if timelines.matches(found, filters):
+            _print(found.fields, found.line)
+
+
+def _open_lines(file: str) -> list[str]:
+    try:
+        text = pathlib.Path(file).read_text(errors="replace")
+    except OSError as error:
+        raise Usage(f"{file}: {error.strerror}") from error
+    return text.splitlines()
+
+
+COMMANDS: dict[str, Any] = {
+    "status": status,
+    "get": get,
+    "diff": diff,
+    "check": check,
+    "apply": apply,
+    "key": {"issue": key_issue, "list": key_list, "withdraw": key_withdraw},
+    "operator": {
+        "issue": operator_issue,
+        "list": operator_list,
+        "withdraw": operator_withdraw,
+    },
+    "shift": {
+        "start": shift_start,
+        "status": shift_status,
+        "stop": shift_stop,
+    },
+    "replica": {
+        "list": replica_list,
+        "add": replica_add,
+        "remove": replica_remove,
+    },
+    "timeline": timeline,
+}
+
+
+def _take_options(arguments: Sequence[str]) -> list[str]:
+    """Sets the options of every command; returns the other arguments."""
+    parser = argparse.ArgumentParser(add_help=False, allow_abbrev=False)
+    parser.add_argument(
+        "--control", default=os.environ.get("POLLENSEAM_CONTROL", "")
+    )
+    parser.add_argument(
+        "--token", default=os.environ.get("POLLENSEAM_TOKEN", "")
+    )
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--tls", action="store_true")
+    known, rest = parser.parse_known_args(list(arguments))
+    _options.control = [part for part in known.control.split(",") if part]
+    _options.token = known.token
+    _options.as_json = known.json
+    _options.tls = known.tls
+    return rest
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the tool; see the exit codes in its help."""
+    given = sys.argv[1:] if arguments is None else arguments
+    try:
+        rest = _take_options(given)
+        defopt.run(
+            COMMANDS,
+            argv=rest,
+            short={},
+            no_negated_flags=True,
+            argparse_kwargs={
+                "prog": "pollenseam",
+                "epilog": EPILOG,
+            },
+        )
+    except Usage as error:
+        _exit(EXIT_USAGE, str(error))
+    except errors.RefusedError as error:
+        refusal = error.refusal
+        code = errors.ANSWERS[refusal.kind].exit_code
+        _exit(code, f"{refusal.kind.value}: {refusal.detail}")
+    except errors.UnreachableError as error:
+        _exit(EXIT_UNREACHABLE, f"{error}")
+
+
+def _exit(code: int, message: str) -> None:
+    print(f"pollenseam: {message}", file=sys.stderr)
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pollenseam/client.py
@@ -0,0 +1,133 @@
+"""An operator's client: calls the operators' pages of any VM."""
+
+import asyncio
+import uuid
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from pollenseam import errors
+from pollenseam import operators
+
+TRY_SECONDS = 10.0
+ROUNDS = 2
+POLL_SECONDS = 0.1
+
+
+class Client:
+    """Talks to the first VM that answers.
+
+    Attributes:
+        addresses: Caller addresses of VMs, the preferred one first.
+        token: The operator's token.
+        scheme: "http" or "https".
+    """
+
+    def __init__(
+        self, addresses: Sequence[str], token: str, scheme: str = "http"
+    ) -> None:
+        self.addresses = list(addresses)
+        self.token = token
+        self.scheme = scheme
+
+    async def get(self, page: str, **query: str) -> Any:
+        """Returns the decoded answer of a reading page.
+
+        Raises:
+            RefusedError: The VM refused.
+            UnreachableError: No VM answered.
+        """
+        return await self._call("GET", page, None, query)
+
+    async def post(self, page: str, body: msgspec.Struct) -> Any:
+        """Returns the decoded answer to a change.
+
+        Raises:
+            RefusedError: The VM refused.
+            UnreachableError: No VM answered; the change may be in force.
+        """
+        return await self._call("POST", page, msgspec.json.encode(body), {})
+
+    async def _call(
+        self, method: str, page: str, body: bytes | None, query: dict[str, str]
+    ) -> Any:
+        last: errors.RefusedError | None = None
+        for address in self.addresses * ROUNDS:
+            try:
+                return await self._try(method, address, page, body, query)
+            except errors.RefusedError as error:
+                if error.refusal.kind not in _ELSEWHERE:
+                    raise
+                last = error
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                continue
+        if last is not None:
+            raise last
+        names = ", ".join(self.addresses) or "none given"
+        raise errors.UnreachableError(f"no VM answered ({names})")
+
+    async def _try(
+        self,
+        method: str,
+        address: str,
+        page: str,
+        body: bytes | None,
+        query: dict[str, str],
+    ) -> Any:
+        url = f"{self.scheme}://{address}{operators.PREFIX}{page}"
+        timeout = aiohttp.ClientTimeout(total=TRY_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.request(
+                method,
+                url,
+                data=body,
+                params=query,
+                headers={"Authorization": f"Bearer {self.token}"},
+            ) as response:
+                raw = await response.read()
+        if response.status == 200:
+            return msgspec.json.decode(raw)
+        raise _refusal(response.status, raw)
+
+    async def wait_in_force(self, index: int, seconds: float) -> bool:
+        """Waits until all VMs that are not suspect have `index` in force."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + seconds
+        while True:
+            status = await self.get("status")
+            behind = [
+                vm
+                for vm in status["vms"]
+                if not vm["suspect"]
+                and vm["state"] != "gone"
+                and vm["index"] < index
+            ]
+            if not behind:
+                return True
+            if loop.time() >= deadline:
+                return False
+            await asyncio.sleep(POLL_SECONDS)
+
+
+_ELSEWHERE = (
+    errors.Kind.NO_QUORUM,
+    errors.Kind.STOPPING,
+    errors.Kind.NOT_FRESH,
+)
+
+
+def _refusal(status: int, raw: bytes) -> errors.RefusedError:
+    try:
+        problem = msgspec.json.decode(raw)
+        kind = errors.Kind(problem["kind"])
+        return errors.refuse(kind, problem["detail"], problem["executed"])
+    except (msgspec.DecodeError, KeyError, ValueError, TypeError):
+        detail = f"unexpected answer with status {status}"
+        return errors.refuse(errors.Kind.UPSTREAM_FAILED, detail)
+
+
+def new_change_id() -> str:
+    """Returns a change id that nobody else uses."""
+    return str(uuid.uuid4())
--- /dev/null
+++ b/src/pollenseam/daemon.py
@@ -0,0 +1,347 @@
+"""The daemon `pollenseamd`: one VM's process."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from collections.abc import Sequence
+
+import defopt
+from aiohttp import web
+
+from pollenseam import admission
+from pollenseam import claiming
+from pollenseam import control
+from pollenseam import entry
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import flags
+from pollenseam import follower
+from pollenseam import formation
+from pollenseam import forwarder
+from pollenseam import gossiper
+from pollenseam import journal
+from pollenseam import keys
+from pollenseam import messages
+from pollenseam import operators
+from pollenseam import peers
+from pollenseam import renewer
+from pollenseam import submitter
+from pollenseam import tls
+from pollenseam import vm
+
+STOP_SECONDS = 60.0
+GRACE_SECONDS = 0.5
+KEEP_ALIVE_SECONDS = 75.0
+BACKLOG = 1024
+
+
+class Daemon:
+    """All parts of one daemon.
+
+    Attributes:
+        vm: The view that they share.
+    """
+
+    def __init__(self, settings: flags.Flags, log: events.EventLog) -> None:
+        self.flags = settings
+        self.log = log
+        self.tls = tls.open_files(settings)
+        credentials = self.tls.credentials() if self.tls else None
+        self.peers = peers.Peers(log.clock, credentials)
+        self.vm = vm.open_vm(settings, log, self.peers)
+        self.submitter = submitter.Submitter(self.vm)
+        self.gossiper = gossiper.Gossiper(self.vm)
+        self.follower = follower.Follower(self.vm)
+        self.renewer = renewer.Renewer(self.vm, self.submitter)
+        self.admission = admission.Admission(self.vm)
+        self.forwarder = forwarder.Forwarder(self.vm, self.admission)
+        self.claiming = claiming.Claiming(
+            self.vm, self.forwarder, self.submitter
+        )
+        self.changes = formation.ReplicaChanges(self.vm)
+        self.entry = entry.Entry(
+            self.vm,
+            self.forwarder,
+            self.claiming,
+            operators.Operators(self.vm, self.submitter),
+        )
+        fetch = self.tls.credentials if self.tls else None
+        self.server = peers.Server(log.clock, self.peers.traffic, fetch)
+        self._web: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._formation: formation.Formation | None = None
+
+    # Start.
+
+    async def start(self) -> None:
+        """Starts all parts; returns once the VM serves.
+
+        Raises:
+            FlagError: An address cannot be bound.
+            DamagedError: The data folder is damaged.
+            OSError: The data folder cannot be used.
+        """
+        root = flags.secret_from_environment("ROOT_TOKEN")
+        if self.flags.data_folder is not None:
+            self._open_control(keys.digest(root) if root else "")
+        self._register()
+        await self.server.start(self.flags.peer_address)
+        await self._listen()
+        if self.vm.control is not None:
+            self._spawn(self._run_control(self.vm.control))
+        self._spawn(self.gossiper.run())
+        self._spawn(self.follower.run())
+        self._spawn(self.renewer.run())
+        self._spawn(self.admission.run())
+        if self.tls is not None:
+            self._spawn(self.tls.watch(self.peers))
+        await self.vm.joined.wait()
+        self.vm.life.fire("serve")
+        self.gossiper.beat()
+        self.log.emit(
+            "ready",
+            caller=self.flags.caller_address,
+            peer=self.flags.peer_address,
+            index=self.vm.tree.index,
+        )
+
+    def _open_control(self, root_digest: str) -> None:
+        assert self.flags.data_folder is not None
+        folder = journal.open_folder(self.flags.data_folder, self.flags.vm)
+        recovered = folder.recover()
+        own = control.open_control(
+            folder,
+            recovered,
+            self.peers,
+            self.log,
+            self.vm.now,
+            root_digest,
+            self.vm.incarnation,
+        )
+        own.on_applied = self.vm.note_applied
+        self.vm.control = own
+        self.vm.directory.own.replica_id = own.replica.id
+        self._formation = formation.Formation(
+            self.flags.vm,
+            folder,
+            self.flags.initial_replicas,
+            self.peers,
+            self.log,
+        )
+        self.vm.note_applied()
+
+    async def _run_control(self, own: control.Control) -> None:
+        if self._formation is not None and self._formation.is_open:
+            members = await self._formation.run()
+            if members is not None:
+                own.replica.found(members)
+        await own.run()
+
+    def _register(self) -> None:
+        server = self.server
+        server.handle(peers.GOSSIP, self.gossiper.answer)
+        server.handle(peers.FETCH, self.follower.answer)
+        server.handle(peers.SUBMIT, self.submitter.answer_submit)
+        server.handle(peers.READ, self.submitter.answer_read)
+        server.handle(peers.LEND, self.renewer.answer)
+        server.handle(peers.PROBE, self.changes.answer_probe)
+        server.handle(peers.CHANGE_REPLICA, self.changes.answer_change)
+        server.handle(peers.DELIVER, self._deliver)
+
+    async def _deliver(self, batch: messages.Batch) -> peers.Done:
+        if self.vm.control is not None:
+            self.vm.control.deliver(batch)
+        return peers.Done()
+
+    async def _listen(self) -> None:
+        host, port = flags.split_address(self.flags.caller_address)
+        self._web = web.Server(
+            self.entry.handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            max_line_size=entry.MAX_HEAD_FIELD_BYTES,
+            max_field_size=entry.MAX_HEAD_FIELD_BYTES,
+            max_headers=entry.MAX_HEADERS,
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            self._listener = await loop.create_server(
+                self._web,
+                host,
+                port,
+                backlog=BACKLOG,
+                ssl=self.tls.server_context() if self.tls else None,
+            )
+        except OSError as error:
+            raise errors.FlagError(
+                f"--caller-address: cannot bind {self.flags.caller_address}: "
+                f"{error.strerror}"
+            ) from error
+
+    def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: "asyncio.Task[None]") -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.log.emit("task-failed", reason=repr(error))
+        # A daemon with a part missing would answer wrongly; a fresh start
+        # of the whole is the state that is tested.
+        os._exit(70)
+
+    # Stop.
+
+    async def stop(self) -> None:
+        """Stops without cutting off a request."""
+        own = self.vm
+        own.life.fire("leave")
+        deadline = own.now() + STOP_SECONDS
+        self.log.emit("stopping", in_flight=own.in_flight)
+        await self.gossiper.say_goodbye()
+        await self._wait_out_lookups(deadline)
+        if self._listener is not None:
+            self._listener.close()
+        await self._finish_requests(deadline)
+        await self.claiming.drain(deadline)
+        await self.renewer.give_back()
+        if own.control is not None:
+            await own.control.transfer()
+        own.life.fire("finish")
+        await self.gossiper.say_goodbye()
+        await self._close()
+        self.log.emit("stopped")
+
+    async def _wait_out_lookups(self, deadline: float) -> None:
+        """Serves on until no caller has a look-up that names this VM."""
+        max_age = self.vm.catalog.fleet.lookup_max_age_ms / 1000
+        cached = entry.LOOKUP_CACHE_SECONDS + gossiper.ROUND_SECONDS
+        until = min(deadline, self.vm.now() + max_age + cached)
+        while self.vm.now() < until:
+            await asyncio.sleep(0.05)
+
+    async def _finish_requests(self, deadline: float) -> None:
+        while self.vm.in_flight > 0 and self.vm.now() < deadline:
+            await asyncio.sleep(0.02)
+        if self._web is not None:
+            await self._web.shutdown(timeout=GRACE_SECONDS)
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.server.stop(GRACE_SECONDS)
+        await self.forwarder.close()
+        await self.peers.close()
+
+
+def serve(
+    *,
+    vm: str,
+    region: str,
+    failure_domain: str,
+    caller_address: str,
+    peer_address: str,
+    seeds: str = "",
+    data_folder: str = "",
+    initial_replicas: str = "",
+    tls_certificate: str = "",
+    tls_key: str = "",
+    tls_authority: str = "",
+    log_file: str = "",
+    trace_file: str = "",
+    insecure: bool = False,
+) -> None:
+    """Runs one VM of pollenseam.
+
+    Every flag is also an environment variable: POLLENSEAM and the flag's
+    name in capitals, joined by underscores, as in POLLENSEAM_VM. The first
+    operator's token is read from POLLENSEAM_ROOT_TOKEN at the first start of
+    a new fleet.
+
+    Args:
+        vm: Name of this VM, unique in the fleet.
+        region: Region that it stands in.
+        failure_domain: Failure domain that it stands in.
+        caller_address: IP:PORT for callers, upstreams and operators.
+        peer_address: IP:PORT for the system's other processes.
+        seeds: Peer addresses to join by, as IP:PORT,IP:PORT.
+        data_folder: Folder for durable state; makes it a possible replica.
+        initial_replicas: Replicas of a new fleet, as NAME=IP:PORT,...
+        tls_certificate: PEM file with this VM's certificate chain.
+        tls_key: PEM file with its private key.
+        tls_authority: PEM file with the authority of all VMs.
+        log_file: File that events are appended to, instead of stderr.
+        trace_file: File that inputs of decisions are recorded to.
+        insecure: Serve without TLS beyond loopback.
+    """
+    settings = flags.Flags(
+        vm,
+        region,
+        failure_domain,
+        caller_address,
+        peer_address,
+        seeds,
+        data_folder,
+        initial_replicas,
+        tls_certificate,
+        tls_key,
+        tls_authority,
+        log_file,
+        trace_file,
+        insecure,
+    )
+    log = events.open_log(settings.vm, settings.log_file)
+    asyncio.run(_run(settings, log))
+
+
+async def _run(settings: flags.Flags, log: events.EventLog) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = Daemon(settings, log)
+    starting = asyncio.create_task(daemon.start())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait(
+        {starting, stopping}, return_when=asyncio.FIRST_COMPLETED
+    )
+    if starting.done():
+        starting.result()
+        await stopping
+    starting.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await starting
+    await daemon.stop()
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the daemon; exits 2 with one line on a bad setting."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    names = [name.replace("_", "-") for name in flags.Flags.__slots__]
+    known = flags.environment_arguments(names, os.environ)
+    try:
+        defopt.run(
+            serve,
+            argv=known + given,
+            short={},
+            no_negated_flags=True,
+            argparse_kwargs={"prog": "pollenseamd"},
+        )
+    except errors.FlagError as error:
+        print(f"pollenseamd: {error}", file=sys.stderr)
+        sys.exit(2)
+    except (errors.DamagedError, OSError) as error:
+        print(f"pollenseamd: data folder: {error}", file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pollenseam/errors.py
@@ -0,0 +1,144 @@
+"""The closed list of error kinds, their answers, and the exceptions."""
+
+import enum
+
+
+class Kind(enum.StrEnum):
+    """Why a request or an operation was refused."""
+
+    MALFORMED = "malformed"
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    FORBIDDEN = "forbidden"
+    NO_ROUTE = "no-route"
+    KEY_REUSED = "idempotency-key-reused"
+    IN_PROGRESS = "in-progress"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    CONFLICT = "version-conflict"
+    CHANGE_REUSED = "change-id-reused"
+    BODY_TOO_LARGE = "body-too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    OVER_RATE = "over-rate"
+    UPSTREAM_FAILED = "upstream-failed"
+    NO_ROOM = "no-room"
+    NOT_FRESH = "not-fresh"
+    STOPPING = "stopping"
+    NO_QUORUM = "no-quorum"
+    DEADLINE = "deadline"
+
+
+class Answer:
+    """How one error kind is answered.
+
+    Attributes:
+        status: HTTP status code.
+        executed: "no" when the kind alone proves that no upstream saw the
+            request, "unknown" when it may have run. A forwarder that knows
+            better says so in its Refusal.
+        retry_after: Seconds after which another try may succeed, or None.
+        exit_code: Exit code of the command-line tool.
+    """
+
+    __slots__ = ("status", "executed", "retry_after", "exit_code")
+
+    def __init__(
+        self,
+        status: int,
+        executed: str = "no",
+        retry_after: int | None = None,
+        exit_code: int = 2,
+    ) -> None:
+        self.status = status
+        self.executed = executed
+        self.retry_after = retry_after
+        self.exit_code = exit_code
+
+
+ANSWERS = {
+    Kind.MALFORMED: Answer(400),
+    Kind.KEY_MISSING: Answer(401, exit_code=4),
+    Kind.KEY_UNKNOWN: Answer(401, exit_code=4),
+    Kind.FORBIDDEN: Answer(403, exit_code=4),
+    Kind.NO_ROUTE: Answer(404),
+    Kind.KEY_REUSED: Answer(409),
+    Kind.IN_PROGRESS: Answer(409, executed="unknown", retry_after=1),
+    Kind.OUTCOME_UNKNOWN: Answer(409, executed="unknown", exit_code=5),
+    Kind.CONFLICT: Answer(409, exit_code=3),
+    Kind.CHANGE_REUSED: Answer(409, exit_code=3),
+    Kind.BODY_TOO_LARGE: Answer(413),
+    Kind.HEADERS_TOO_LARGE: Answer(431),
+    Kind.OVER_RATE: Answer(429, retry_after=1),
+    Kind.UPSTREAM_FAILED: Answer(502, executed="unknown"),
+    Kind.NO_ROOM: Answer(503, retry_after=1, exit_code=5),
+    Kind.NOT_FRESH: Answer(503, retry_after=1, exit_code=5),
+    Kind.STOPPING: Answer(503, retry_after=1, exit_code=5),
+    Kind.NO_QUORUM: Answer(503, retry_after=1, exit_code=5),
+    Kind.DEADLINE: Answer(504, executed="unknown", exit_code=5),
+}
+
+
+class Refusal:
+    """One refused request or operation.
+
+    Attributes:
+        kind: Error kind; selects the answer.
+        detail: One sentence for a person.
+        executed: Overrides the answer's value where more is known.
+        retry_after: Overrides the answer's value, in seconds.
+    """
+
+    __slots__ = ("kind", "detail", "executed", "retry_after")
+
+    def __init__(
+        self,
+        kind: Kind,
+        detail: str,
+        executed: str | None = None,
+        retry_after: int | None = None,
+    ) -> None:
+        answer = ANSWERS[kind]
+        self.kind = kind
+        self.detail = detail
+        self.executed = executed or answer.executed
+        self.retry_after = retry_after or answer.retry_after
+
+    def __repr__(self) -> str:
+        return f"Refusal({self.kind.value}: {self.detail})"
+
+
+class PollenseamError(Exception):
+    """Base class of the package's exceptions."""
+
+
+class RefusedError(PollenseamError):
+    """Carries a Refusal through code that unwinds by exception."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class FlagError(PollenseamError):
+    """A daemon flag or its environment variable has a bad value."""
+
+
+class DamagedError(PollenseamError):
+    """A file in the data folder fails its checksum or cannot be decoded."""
+
+
+class NotLeaderError(PollenseamError):
+    """The replica asked is not the leader, or lost its leadership."""
+
+
+class UnreachableError(PollenseamError):
+    """No control replica answered; the outcome of a change is unknown."""
+
+
+def refuse(
+    kind: Kind,
+    detail: str,
+    executed: str | None = None,
+    retry_after: int | None = None,
+) -> RefusedError:
+    """Returns an exception that carries a Refusal of `kind`."""
+    return RefusedError(Refusal(kind, detail, executed, retry_after))
--- /dev/null
+++ b/src/pollenseam/follower.py
@@ -0,0 +1,178 @@
+"""Keeps a VM's settings current: fetches from replicas or from relays."""
+
+import asyncio
+import contextlib
+import hashlib
+
+from pollenseam import errors
+from pollenseam import lifecycles
+from pollenseam import messages
+from pollenseam import peers
+from pollenseam import tree
+from pollenseam import vm
+
+WAIT_MS = 300
+CALL_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 0.1
+REPLICA_POLL_SECONDS = 0.3
+RELAYS_PER_DOMAIN = 2
+DETACH_AFTER_FAILURES = 10
+
+
+class Follower:
+    """Fetches settings for one VM and serves them to others.
+
+    Attributes:
+        vm: The VM's view.
+        source: Address that it fetches from now.
+    """
+
+    def __init__(self, own: vm.Vm) -> None:
+        self.vm = own
+        self.source = ""
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Fetches until cancelled."""
+        while True:
+            if self._leads():
+                self.vm.note_settings()
+                await asyncio.sleep(REPLICA_POLL_SECONDS)
+                continue
+            source = self._choose()
+            if not source:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            self.source = source
+            if await self._fetch(source):
+                self._failures = 0
+            else:
+                self._note_failure()
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def _note_failure(self) -> None:
+        self._failures += 1
+        control = self.vm.control
+        if control is None or self._failures < DETACH_AFTER_FAILURES:
+            return
+        if control.failed or not control.replica.leader:
+            self.vm.detach()
+
+    def _leads(self) -> bool:
+        control = self.vm.control
+        return control is not None and control.is_leader
+
+    def _is_replica(self) -> bool:
+        control = self.vm.control
+        if control is None or control.failed or not self.vm.is_attached:
+            return False
+        core = control.replica
+        known = core.members.voters.keys() | core.members.learners.keys()
+        return core.id in known
+
+    def _choose(self) -> str:
+        candidates = self._candidates()
+        if not candidates:
+            return ""
+        return candidates[self._failures % len(candidates)]
+
+    def _candidates(self) -> list[str]:
+        """Returns addresses to fetch from, the preferred one first."""
+        own = self.vm
+        found: list[str] = []
+        if self._is_replica() and own.control is not None:
+            found.append(own.control.leader_address)
+        vms = own.directory.live(own.now())[1:]
+        usable = [r for r in vms if r.state != lifecycles.VmState.STARTING]
+        relays = self._relays(usable)
+        replicas = [r for r in usable if r.replica_id]
+        if own.flags.vm not in relays:
+            found += [r.peer_address for r in usable if r.name in relays]
+        found += _by_hash(own.flags.vm, replicas)
+        found += _by_hash(own.flags.vm, usable)
+        found += own.flags.seeds
+        found += own.flags.initial_replicas.values()
+        skip = ("", own.flags.peer_address)
+        return [a for a in dict.fromkeys(found) if a not in skip]
+
+    def _relays(self, vms: list[messages.Vm]) -> set[str]:
+        """Returns the VMs of the failure domain that fetch from replicas."""
+        own = self.vm.directory.own
+        near = [r for r in vms if r.failure_domain == own.failure_domain]
+        names = sorted(r.name for r in [own, *near])
+        if len(names) <= RELAYS_PER_DOMAIN:
+            return set(names)
+        return set(sorted(names, key=_digest)[:RELAYS_PER_DOMAIN])
+
+    async def _fetch(self, source: str) -> bool:
+        own = self.vm
+        is_replica = self._is_replica()
+        wait_ms = 0 if is_replica else WAIT_MS
+        request = messages.Fetch(own.flags.vm, own.tree.index, wait_ms, 0)
+        sent_at = own.now()
+        age_before = own.freshness.as_of
+        try:
+            feed = await own.peers.call(
+                source, peers.FETCH, request, CALL_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError:
+            return False
+        if is_replica:
+            await self._wait_applied(feed, sent_at)
+            await asyncio.sleep(REPLICA_POLL_SECONDS)
+        else:
+            self._take_in(feed, sent_at)
+        # A source that is cut off itself answers, but its age stands still.
+        return own.freshness.as_of != age_before
+
+    async def _wait_applied(self, feed: messages.Feed, sent_at: float) -> None:
+        """Counts an age once the own log has been applied that far."""
+        own = self.vm
+        deadline = own.now() + CALL_TIMEOUT_SECONDS
+        while own.tree.index < feed.index and own.now() < deadline:
+            await asyncio.sleep(0.01)
+        if own.tree.index >= feed.index:
+            own.freshness.note(sent_at, feed.age_ms)
+
+    def _take_in(self, feed: messages.Feed, sent_at: float) -> None:
+        own = self.vm
+        if feed.index < own.tree.index:
+            return
+        if feed.nodes is not None:
+            own.tree.replace(tree.whole(feed.nodes, feed.index))
+        elif feed.deltas is not None:
+            own.tree.follow(feed.deltas, feed.index)
+        own.note_settings()
+        own.freshness.note(sent_at, feed.age_ms)
+
+    async def answer(self, request: messages.Fetch) -> messages.Feed:
+        """Answers another VM's fetch, waiting a while for news."""
+        own = self.vm
+        if own.tree.changed_index <= request.index and request.wait_ms > 0:
+            changed = own.changed
+            seconds = min(request.wait_ms, 10 * WAIT_MS) / 1000
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await changed.wait()
+        if own.tree.index == 0:
+            return messages.Feed(0, -1, 0, deltas=[])
+        age_ms = own.settings_age_ms()
+        if own.tree.index < request.index:
+            # The asker knows more than this VM does.
+            return messages.Feed(own.tree.index, -1, 0, deltas=[])
+        deltas = own.tree.since(request.index)
+        if deltas is not None and request.index > 0:
+            return messages.Feed(own.tree.index, age_ms, 0, deltas=deltas)
+        return messages.Feed(
+            own.tree.index, age_ms, 0, nodes=dict(own.tree.nodes)
+        )
+
+
+def _digest(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+
+def _by_hash(name: str, records: list[messages.Vm]) -> list[str]:
+    """Returns addresses in an order that differs from VM to VM."""
+    ordered = sorted(records, key=lambda r: _digest(name + "/" + r.name))
+    return [record.peer_address for record in ordered]
--- /dev/null
+++ b/src/pollenseam/forwarder.py
@@ -0,0 +1,407 @@
+"""Carries requests to upstreams and answers back, whole or visibly cut."""
+
+import asyncio
+import urllib.parse
+from collections.abc import AsyncIterator
+
+import aiohttp
+import multidict
+import yarl
+from aiohttp import web
+
+from pollenseam import admission
+from pollenseam import catalog
+from pollenseam import errors
+from pollenseam import headers
+from pollenseam import lifecycles
+from pollenseam import shifts
+from pollenseam import upstreams
+from pollenseam import vm
+
+BUFFER_BYTES = 64 * 1024
+CHUNK_BYTES = 64 * 1024
+MAX_TRIES = 3
+CONNECT_SECONDS = 1.0
+KEEP_ALIVE_SECONDS = 10.0
+IDEMPOTENT_METHODS = frozenset(
+    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+)
+OPEN_WORKSPACE = ""
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class Exchange:
+    """One request on its way through this VM.
+
+    Attributes:
+        request: The caller's request.
+        target: Path and query as sent by the caller.
+        route: Its route.
+        workspace: Path of the key's workspace, or "" on open routes.
+        weight: Weight of the workspace.
+        key: The caller's key, or None.
+        deadline: Time after which no answer is of use.
+        body: The buffered body, or None when it is streamed.
+        is_once: Whether it must not be repeated.
+        tried: Upstreams that it has been sent to.
+        is_sent: Whether a byte may have reached an upstream.
+        body_refusal: Why the streamed body was cut, or None.
+    """
+
+    __slots__ = (
+        "request",
+        "target",
+        "route",
+        "workspace",
+        "weight",
+        "key",
+        "deadline",
+        "body",
+        "is_once",
+        "tried",
+        "is_sent",
+        "body_refusal",
+    )
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        target: str,
+        route: catalog.Route,
+        deadline: float,
+    ) -> None:
+        self.request = request
+        self.target = target
+        self.route = route
+        self.workspace = OPEN_WORKSPACE
+        self.weight = 1.0
+        self.key: str | None = None
+        self.deadline = deadline
+        self.body: bytes | None = None
+        self.is_once = False
+        self.tried: set[str] = set()
+        self.is_sent = False
+        self.body_refusal: errors.Refusal | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may be sent again after a byte of it was sent."""
+        idempotent = self.request.method in IDEMPOTENT_METHODS
+        return idempotent and not self.is_once and self.body is not None
+
+
+class Lane:
+    """An upstream with a slot taken on it for one try."""
+
+    __slots__ = ("service", "upstream", "started")
+
+    def __init__(
+        self, service: str, upstream: upstreams.Upstream, started: float
+    ) -> None:
+        self.service = service
+        self.upstream = upstream
+        self.started = started
+
+
+class Answer:
+    """An upstream's answer, its body still to come."""
+
+    __slots__ = ("response", "lane")
+
+    def __init__(self, response: aiohttp.ClientResponse, lane: Lane) -> None:
+        self.response = response
+        self.lane = lane
+
+
+class Forwarder:
+    """Sends requests to upstreams.
+
+    Attributes:
+        vm: The VM's view.
+        admission: Hands out slots.
+        budgets: Retry budgets by service path.
+        runs: Running shifts by path.
+    """
+
+    def __init__(self, own: vm.Vm, gate: admission.Admission) -> None:
+        self.vm = own
+        self.admission = gate
+        self.budgets: dict[str, upstreams.RetryBudget] = {}
+        self.runs: dict[str, shifts.Run] = {}
+        self.session = open_session()
+
+    async def close(self) -> None:
+        """Closes all connections to upstreams."""
+        await self.session.close()
+
+    async def send(self, exchange: Exchange) -> Answer:
+        """Sends a request and returns the answer's head, body to come.
+
+        The caller must pass the answer to `finish`.
+
+        Raises:
+            RefusedError: No upstream answered it.
+        """
+        service = exchange.route.service
+        budget = self.budgets.setdefault(service.path, upstreams.RetryBudget())
+        budget.earn(service.retry_ratio)
+        last: errors.Refusal | None = None
+        for count in range(MAX_TRIES):
+            if count > 0 and not budget.spend():
+                break
+            lane = await self._take_lane(exchange, last)
+            try:
+                return await self._try(exchange, lane)
+            except errors.RefusedError as error:
+                last = error.refusal
+                if exchange.is_sent and not exchange.may_repeat:
+                    break
+                self.vm.metrics.retries += 1
+        assert last is not None
+        raise errors.RefusedError(last)
+
+    async def _take_lane(
+        self, exchange: Exchange, last: errors.Refusal | None
+    ) -> Lane:
+        service = exchange.route.service
+        moved = self._move(service, exchange)
+        if moved is not None:
+            return Lane(service.path, moved, self.vm.now())
+        try:
+            upstream = await self.admission.take_slot(
+                service,
+                exchange.workspace,
+                exchange.weight,
+                exchange.deadline,
+                exchange.tried,
+            )
+        except errors.RefusedError:
+            if last is not None and exchange.is_sent:
+                # What happened before says more than that no room is left.
+                raise errors.RefusedError(last) from None
+            raise
+        return Lane(service.path, upstream, self.vm.now())
+
+    def _move(
+        self, service: catalog.Service, exchange: Exchange
+    ) -> upstreams.Upstream | None:
+        """Takes a slot in another region if a running shift allows it."""
+        own = self.vm
+        for path, shift in service.shifts:
+            if shift.source != own.flags.region:
+                continue
+            run = self.runs.setdefault(path, shifts.Run())
+            healthy = self._is_healthy(service, shift.target)
+            if not run.observe(healthy, own.now()):
+                continue
+            if not self.admission.try_token(path):
+                continue
+            if not self.admission.try_token(catalog.region_path(shift.target)):
+                continue
+            upstream = self.admission.choose(
+                service.path, shift.target, exchange.tried
+            )
+            if upstream is not None:
+                own.metrics.moved[path] += 1
+                return upstream
+        return None
+
+    def _is_healthy(self, service: catalog.Service, region: str) -> bool:
+        """Tells whether a region's upstreams are known to be well now."""
+        own = self.vm
+        now = own.now()
+        heard = any(
+            known.record.region == region
+            and not known.is_suspect(now)
+            and known.record.state == lifecycles.VmState.SERVING
+            for known in own.directory.vms.values()
+        )
+        return heard and own.pool(service.path).has_usable(region, now)
+
+    async def _try(self, exchange: Exchange, lane: Lane) -> Answer:
+        exchange.tried.add(lane.upstream.record.name)
+        try:
+            response = await self._request(exchange, lane)
+        except BaseException:
+            self.admission.release(lane.service, lane.upstream)
+            raise
+        shed = exchange.route.service.shed
+        if response.status == shed.status and shed.header in response.headers:
+            response.close()
+            self._note_shed(lane)
+            exchange.is_sent = False
+            raise errors.refuse(
+                errors.Kind.NO_ROOM, "the upstream is full", executed="no"
+            )
+        return Answer(response, lane)
+
+    def _note_shed(self, lane: Lane) -> None:
+        self.vm.metrics.sheds += 1
+        self.vm.pool(lane.service).shed(lane.upstream, self.vm.now())
+        self.admission.release(lane.service, lane.upstream)
+
+    async def _request(
+        self, exchange: Exchange, lane: Lane
+    ) -> aiohttp.ClientResponse:
+        pool = self.vm.pool(lane.service)
+        was_sent = exchange.is_sent
+        # From here on a byte may be under way, unless connecting fails.
+        exchange.is_sent = True
+        try:
+            async with asyncio.timeout_at(vm.loop_deadline(exchange.deadline)):
+                return await self._open(exchange, lane)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            exchange.is_sent = was_sent
+            pool.fail(lane.upstream, 0.0, self.vm.now())
+            raise _failed(exchange, "cannot be connected to") from error
+        except TimeoutError as error:
+            seconds = self.vm.now() - lane.started
+            pool.fail(lane.upstream, seconds, self.vm.now())
+            raise errors.refuse(
+                errors.Kind.DEADLINE, "the upstream did not answer in time"
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            if exchange.body_refusal is not None:
+                raise errors.RefusedError(exchange.body_refusal) from error
+            pool.fail(lane.upstream, 0.0, self.vm.now())
+            raise _failed(exchange, "broke the connection") from error
+
+    async def _open(
+        self, exchange: Exchange, lane: Lane
+    ) -> aiohttp.ClientResponse:
+        request = exchange.request
+        pairs = headers.to_upstream(request.headers.items(), exchange.key)
+        if exchange.workspace:
+            name = exchange.workspace.rpartition("/")[2]
+            pairs.append((headers.WORKSPACE, name))
+        left_ms = int((exchange.deadline - self.vm.now()) * 1000)
+        pairs.append((headers.TIMEOUT, str(max(1, left_ms))))
+        pairs.append(("Host", request.headers["Host"]))
+        data: bytes | AsyncIterator[bytes] | None = exchange.body or None
+        if exchange.body is None:
+            data = self._stream(exchange)
+            length = request.content_length
+            if length is not None:
+                pairs.append(("Content-Length", str(length)))
+        address = lane.upstream.record.address
+        return await self.session.request(
+            request.method,
+            yarl.URL(f"http://{address}{exchange.target}", encoded=True),
+            headers=multidict.CIMultiDict(pairs),
+            data=data,
+            allow_redirects=False,
+        )
+
+    async def _stream(self, exchange: Exchange) -> AsyncIterator[bytes]:
+        limit = exchange.route.service.max_body_bytes
+        size = 0
+        try:
+            async for chunk in exchange.request.content.iter_chunked(
+                CHUNK_BYTES
+            ):
+                size += len(chunk)
+                if size > limit:
+                    raise _too_large(limit)
+                yield chunk
+        except errors.RefusedError as error:
+            exchange.body_refusal = error.refusal
+            raise
+        except (aiohttp.ClientError, OSError) as error:
+            exchange.body_refusal = errors.Refusal(
+                errors.Kind.MALFORMED, "the body was cut", executed="unknown"
+            )
+            raise errors.RefusedError(exchange.body_refusal) from error
+
+    def finish(self, answer: Answer, is_whole: bool) -> None:
+        """Gives the slot of an answer back.
+
+        Args:
+            answer: What `send` returned.
+            is_whole: Whether its body was read to the end. A connection
+                with an answer under way is closed, never reused.
+        """
+        response = answer.response
+        lane = answer.lane
+        if is_whole:
+            response.release()
+        else:
+            response.close()
+        now = self.vm.now()
+        pool = self.vm.pool(lane.service)
+        seconds = now - lane.started
+        if is_whole and response.status < 500:
+            pool.succeed(lane.upstream, seconds, now)
+        else:
+            pool.fail(lane.upstream, seconds, now)
+        self.admission.release(lane.service, lane.upstream)
+
+
+def _too_large(limit: int) -> errors.RefusedError:
+    return errors.refuse(
+        errors.Kind.BODY_TOO_LARGE,
+        f"the body is over {limit} bytes",
+        executed="unknown",
+    )
+
+
+def _failed(exchange: Exchange, what: str) -> errors.RefusedError:
+    executed = "unknown" if exchange.is_sent else "no"
+    return errors.refuse(
+        errors.Kind.UPSTREAM_FAILED, f"the upstream {what}", executed=executed
+    )
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Returns a client session that adds nothing of its own."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=0,
+        keepalive_timeout=KEEP_ALIVE_SECONDS,
+        use_dns_cache=False,
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=(
+            "User-Agent",
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        read_bufsize=CHUNK_BYTES,
+        trust_env=False,
+    )
+    # The library sends idempotent requests again on a closed connection;
+    # whether that is allowed is for the route to say (RFC 9110, 9.2.2).
+    session._retry_connection = False
+    return session
+
+
+def check_target(target: str) -> str:
+    """Returns the decoded path of a request target.
+
+    Dot segments are refused: an upstream that resolves them would see
+    another path than the one whose route was checked.
+
+    Raises:
+        RefusedError: The target is not in origin form, or has dot segments.
+    """
+    if not target.startswith("/"):
+        raise errors.refuse(
+            errors.Kind.MALFORMED, "the request target must begin with '/'"
+        )
+    path = target.partition("?")[0].partition("#")[0]
+    if "%" in path:
+        path = urllib.parse.unquote(path, errors="replace")
+    if "/." in path or "\\" in path:
+        segments = path.replace("\\", "/").split("/")
+        if "." in segments or ".." in segments:
+            raise errors.refuse(
+                errors.Kind.MALFORMED, "the path has dot segments"
+            )
+    return path
--- /dev/null
+++ b/src/pollenseam/gossiper.py
@@ -0,0 +1,96 @@
+"""Spreads membership records: one exchange per round with few peers."""
+
+import asyncio
+
+from pollenseam import errors
+from pollenseam import messages
+from pollenseam import peers
+from pollenseam import vm
+
+ROUND_SECONDS = 0.3
+CALL_TIMEOUT_SECONDS = 1.0
+
+
+class Gossiper:
+    """Runs the exchanges of one VM."""
+
+    def __init__(self, own: vm.Vm) -> None:
+        self.vm = own
+        self._under_way: set[str] = set()
+
+    async def run(self) -> None:
+        """Exchanges records until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self.beat()
+                for address, name in self._targets():
+                    if address not in self._under_way:
+                        group.create_task(self.exchange(address, name))
+                await asyncio.sleep(ROUND_SECONDS)
+
+    def beat(self) -> None:
+        """Renews the own record and drops what is long dead."""
+        own = self.vm
+        directory = own.directory
+        age_ms = own.settings_age_ms()
+        directory.beat(own.life.state, age_ms, own.tree.index, own.load())
+        directory.forget(own.now())
+
+    def _targets(self) -> list[tuple[str, str]]:
+        directory = self.vm.directory
+        chosen = [
+            (record.peer_address, record.name)
+            for record in directory.choose_peers(self.vm.now())
+        ]
+        seeds = [
+            seed
+            for seed in self.vm.flags.seeds
+            if seed != self.vm.flags.peer_address
+        ]
+        known = {v.record.peer_address for v in directory.vms.values()}
+        # Seeds that are not known are asked every round, so that two halves
+        # of a healed partition find each other again.
+        missing = [(seed, "") for seed in seeds if seed not in known]
+        return chosen + missing
+
+    async def exchange(self, address: str, name: str) -> None:
+        """Pushes news to one peer and takes its news in."""
+        self._under_way.add(address)
+        directory = self.vm.directory
+        sequence = directory.sequence
+        now = self.vm.now()
+        request = directory.gossip_to(name, now, 0, whole=not name)
+        try:
+            answer = await self.vm.peers.call(
+                address, peers.GOSSIP, request, CALL_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError:
+            return
+        finally:
+            self._under_way.discard(address)
+        directory.note_sent(answer.sender, sequence)
+        self._merge(answer)
+
+    async def answer(self, request: messages.Gossip) -> messages.Gossip:
+        """Answers a peer's exchange."""
+        self._merge(request)
+        directory = self.vm.directory
+        sequence = directory.sequence
+        answer = directory.gossip_to(
+            request.sender, self.vm.now(), 0, request.whole
+        )
+        directory.note_sent(request.sender, sequence)
+        return answer
+
+    def _merge(self, gossip: messages.Gossip) -> None:
+        self.vm.directory.merge(gossip, self.vm.now())
+
+    async def say_goodbye(self) -> None:
+        """Tells all VMs of a changed state at once."""
+        self.beat()
+        records = self.vm.directory.live(self.vm.now())[1:]
+        async with asyncio.TaskGroup() as group:
+            for record in records:
+                group.create_task(
+                    self.exchange(record.peer_address, record.name)
+                )
--- /dev/null
+++ b/src/pollenseam/journal.py
@@ -0,0 +1,363 @@
+"""The data folder of a replica: identity, log segments and snapshots.
+
+Every record is framed by its length and CRC-32. A torn last record is cut
+off; damage before the end is refused, because synced records may be gone.
+"""
+
+import os
+import pathlib
+import secrets
+import zlib
+
+import msgspec
+
+from pollenseam import errors
+from pollenseam import messages
+from pollenseam import replica
+
+FRAME_BYTES = 8
+MAX_RECORD_BYTES = 64 * 1024 * 1024
+SEGMENT_BYTES = 16 * 1024 * 1024
+FOLDER_MODE = 0o700
+FILE_MODE = 0o600
+IDENTITY_FILE = "identity"
+SNAPSHOT_FILE = "snapshot"
+SEGMENT_SUFFIX = ".log"
+
+
+class Identity(msgspec.Struct, array_like=True):
+    """Who this data folder belongs to.
+
+    Attributes:
+        replica_id: The VM's name and a random part made with the folder.
+        members: Configuration that the quorum started with; None before.
+    """
+
+    replica_id: str
+    members: messages.Members | None = None
+
+
+class Stored(msgspec.Struct, array_like=True):
+    """One record of the log: a hard state, entries, or both."""
+
+    term: int
+    vote: str
+    entries: list[messages.Entry]
+
+
+class SnapshotHead(msgspec.Struct, array_like=True):
+    """What a snapshot file says before its data."""
+
+    index: int
+    term: int
+    members: messages.Members
+
+
+class Recovered:
+    """What was found in the data folder.
+
+    Attributes:
+        hard: Term and vote.
+        log: Entries after the snapshot.
+        head: The snapshot's head, or None.
+        snapshot: The snapshot's data, or b"".
+    """
+
+    __slots__ = ("hard", "log", "head", "snapshot")
+
+    def __init__(
+        self,
+        hard: replica.HardState,
+        log: replica.Log,
+        head: SnapshotHead | None,
+        snapshot: bytes,
+    ) -> None:
+        self.hard = hard
+        self.log = log
+        self.head = head
+        self.snapshot = snapshot
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_identity = msgspec.msgpack.Decoder(Identity).decode
+_decode_stored = msgspec.msgpack.Decoder(Stored).decode
+_decode_head = msgspec.msgpack.Decoder(SnapshotHead).decode
+
+
+class Journal:
+    """Appends to and compacts the log in one data folder.
+
+    All methods block; they raise OSError when the disk refuses. After such
+    an error the journal must not be used again: what the kernel kept of the
+    failed write is not known.
+
+    Attributes:
+        folder: The data folder.
+        identity: Who it belongs to.
+    """
+
+    __slots__ = ("folder", "identity", "_file", "_size", "_number", "_hard")
+
+    def __init__(self, folder: pathlib.Path, identity: Identity) -> None:
+        self.folder = folder
+        self.identity = identity
+        self._file: int | None = None
+        self._size = 0
+        self._number = 0
+        self._hard = replica.HardState()
+
+    def recover(self) -> Recovered:
+        """Reads the snapshot and the log.
+
+        Raises:
+            DamagedError: A record before the end is damaged.
+        """
+        head, snapshot = self.read_snapshot()
+        log = replica.Log(head.index, head.term) if head else replica.Log()
+        numbers = self._segment_numbers()
+        for number in numbers:
+            last = number == numbers[-1]
+            for stored in self._read_segment(number, last):
+                self._hard = replica.HardState(stored.term, stored.vote)
+                _replay(log, stored.entries)
+        self._number = numbers[-1] if numbers else 0
+        if numbers:
+            self._open_segment()
+        hard = replica.HardState(self._hard.term, self._hard.vote)
+        return Recovered(hard, log, head, snapshot)
+
+    def save_identity(self, identity: Identity) -> None:
+        """Syncs who the folder belongs to."""
+        self.identity = identity
+        _replace_file(self.folder / IDENTITY_FILE, [_encode(identity)])
+
+    def append(
+        self, hard: replica.HardState | None, entries: list[messages.Entry]
+    ) -> None:
+        """Appends and syncs a hard state and entries in one record."""
+        if hard is not None:
+            self._hard = hard
+        if self._file is None or self._size > SEGMENT_BYTES:
+            self._next_segment()
+        assert self._file is not None
+        stored = Stored(self._hard.term, self._hard.vote, entries)
+        data = _frame(_encode(stored))
+        _write_all(self._file, data)
+        os.fdatasync(self._file)
+        self._size += len(data)
+
+    def save_snapshot(
+        self, head: SnapshotHead, data: bytes, entries: list[messages.Entry]
+    ) -> None:
+        """Syncs a snapshot, then starts a segment with what follows it.
+
+        Old segments go last: a crash at any point leaves either the old
+        segments or the new one, and both lead to the same state.
+
+        Args:
+            head: Position and configuration of the snapshot.
+            data: The state machine's snapshot.
+            entries: Synced entries after the snapshot.
+        """
+        path = self.folder / SNAPSHOT_FILE
+        _replace_file(path, [_encode(head), data])
+        old = self._segment_numbers()
+        self._next_segment()
+        self.append(None, entries)
+        for number in old:
+            self._segment_path(number).unlink()
+        _sync_folder(self.folder)
+
+    def close(self) -> None:
+        """Closes the open segment."""
+        if self._file is not None:
+            os.close(self._file)
+            self._file = None
+
+    def _segment_path(self, number: int) -> pathlib.Path:
+        return self.folder / f"{number:012d}{SEGMENT_SUFFIX}"
+
+    def _segment_numbers(self) -> list[int]:
+        names = self.folder.glob(f"*{SEGMENT_SUFFIX}")
+        return sorted(int(path.stem) for path in names)
+
+    def _next_segment(self) -> None:
+        self.close()
+        self._number += 1
+        self._open_segment()
+        _sync_folder(self.folder)
+
+    def _open_segment(self) -> None:
+        path = self._segment_path(self._number)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._file = os.open(path, flags, FILE_MODE)
+        self._size = os.fstat(self._file).st_size
+
+    def _read_segment(self, number: int, last: bool) -> list[Stored]:
+        path = self._segment_path(number)
+        data = path.read_bytes()
+        found: list[Stored] = []
+        offset = 0
+        while offset < len(data):
+            record = _unframe(data, offset)
+            if record is None:
+                if not last or not _is_torn(data, offset):
+                    raise errors.DamagedError(_damage(path, offset))
+                os.truncate(path, offset)
+                _sync_file(path)
+                break
+            found.append(_decode_record(path, offset, record))
+            offset += FRAME_BYTES + len(record)
+        return found
+
+    def read_snapshot(self) -> tuple[SnapshotHead | None, bytes]:
+        """Returns the snapshot's head and data; (None, b"") if none.
+
+        Raises:
+            DamagedError: The file is damaged.
+        """
+        path = self.folder / SNAPSHOT_FILE
+        if not path.exists():
+            return None, b""
+        data = path.read_bytes()
+        first = _unframe(data, 0)
+        if first is None:
+            raise errors.DamagedError(_damage(path, 0))
+        second = _unframe(data, FRAME_BYTES + len(first))
+        if second is None:
+            raise errors.DamagedError(_damage(path, FRAME_BYTES + len(first)))
+        try:
+            return _decode_head(first), second
+        except msgspec.ValidationError as error:
+            raise errors.DamagedError(f"{path}: {error}") from error
+
+
+def _damage(path: pathlib.Path, offset: int) -> str:
+    return (
+        f"{path}: record at byte {offset} is damaged; move the data folder "
+        "away and add this VM as a new replica"
+    )
+
+
+def _decode_record(path: pathlib.Path, offset: int, record: bytes) -> Stored:
+    try:
+        return _decode_stored(record)
+    except msgspec.DecodeError as error:
+        raise errors.DamagedError(_damage(path, offset)) from error
+
+
+def _replay(log: replica.Log, entries: list[messages.Entry]) -> None:
+    for entry in entries:
+        if entry.index <= log.base_index:
+            continue
+        if entry.index <= log.last_index:
+            log.cut(entry.index)
+        if entry.index != log.last_index + 1:
+            raise errors.DamagedError(
+                f"log entry {log.last_index + 1} is missing"
+            )
+        log.entries.append(entry)
+
+
+def _frame(record: bytes) -> bytes:
+    size = len(record).to_bytes(4, "big")
+    checksum = zlib.crc32(record, zlib.crc32(size)).to_bytes(4, "big")
+    return size + checksum + record
+
+
+def _unframe(data: bytes, offset: int) -> bytes | None:
+    head = data[offset : offset + FRAME_BYTES]
+    if len(head) < FRAME_BYTES:
+        return None
+    size = int.from_bytes(head[:4], "big")
+    start = offset + FRAME_BYTES
+    if size > MAX_RECORD_BYTES or start + size > len(data):
+        return None
+    record = data[start : start + size]
+    checksum = zlib.crc32(record, zlib.crc32(head[:4]))
+    if checksum != int.from_bytes(head[4:], "big"):
+        return None
+    return record
+
+
+def _is_torn(data: bytes, offset: int) -> bool:
+    """Tells a torn last record from damage with intact records after it."""
+    for place in range(offset + 1, len(data) - FRAME_BYTES):
+        record = _unframe(data, place)
+        if record is not None and _is_record(record):
+            return False
+    return True
+
+
+def _is_record(record: bytes) -> bool:
+    try:
+        _decode_stored(record)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
+def _write_all(file: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
+
+
+def _replace_file(path: pathlib.Path, records: list[bytes]) -> None:
+    temporary = path.with_suffix(".new")
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    file = os.open(temporary, flags, FILE_MODE)
+    try:
+        for record in records:
+            _write_all(file, _frame(record))
+        os.fsync(file)
+    finally:
+        os.close(file)
+    os.replace(temporary, path)
+    _sync_folder(path.parent)
+
+
+def _sync_file(path: pathlib.Path) -> None:
+    file = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(file)
+    finally:
+        os.close(file)
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    _sync_file(folder)
+
+
+def read_identity(folder: pathlib.Path) -> Identity | None:
+    """Returns who a folder belongs to, or None when it is new.
+
+    Raises:
+        DamagedError: The identity cannot be read though a log exists.
+    """
+    path = folder / IDENTITY_FILE
+    if not path.exists():
+        if any(folder.glob(f"*{SEGMENT_SUFFIX}")):
+            raise errors.DamagedError(f"{path} is missing beside a log")
+        return None
+    record = _unframe(path.read_bytes(), 0)
+    if record is None:
+        raise errors.DamagedError(_damage(path, 0))
+    return _decode_identity(record)
+
+
+def open_folder(folder: pathlib.Path, vm: str) -> Journal:
+    """Opens a data folder, making it and a new replica id when needed.
+
+    Raises:
+        DamagedError: Its identity is damaged.
+        OSError: The folder cannot be made or written.
+    """
+    folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
+    identity = read_identity(folder)
+    if identity is None:
+        identity = Identity(f"{vm}.{secrets.token_hex(4)}")
+        journal = Journal(folder, identity)
+        journal.save_identity(identity)
+        return journal
+    return Journal(folder, identity)
--- /dev/null
+++ b/src/pollenseam/keys.py
@@ -0,0 +1,64 @@
+"""Secrets of callers, upstreams and operators, kept only as digests."""
+
+import hashlib
+import hmac
+import secrets
+
+ID_BYTES = 6
+SECRET_BYTES = 24
+MAX_SECRET_CHARACTERS = 200
+PREFIX = "ps"
+
+
+class Secret:
+    """A freshly made secret.
+
+    Attributes:
+        id: Public identifier, safe to log.
+        text: What the holder presents: `ps_ID_SECRET`.
+        digest: Hex SHA-256 of `text`.
+    """
+
+    __slots__ = ("id", "text", "digest")
+
+    def __init__(self, id: str, text: str) -> None:
+        self.id = id
+        self.text = text
+        self.digest = digest(text)
+
+
+def generate() -> Secret:
+    """Returns a new secret from the system's random source."""
+    id = secrets.token_hex(ID_BYTES)
+    return Secret(id, f"{PREFIX}_{id}_{secrets.token_hex(SECRET_BYTES)}")
+
+
+def parse(text: str) -> Secret | None:
+    """Returns the secret that `text` spells, or None when it is malformed."""
+    if len(text) > MAX_SECRET_CHARACTERS or not text.isascii():
+        return None
+    parts = text.split("_")
+    if len(parts) != 3 or parts[0] != PREFIX or not parts[1] or not parts[2]:
+        return None
+    return Secret(parts[1], text)
+
+
+def digest(text: str) -> str:
+    """Returns the hex SHA-256 of a secret."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def matches(text: str, expected: str) -> bool:
+    """Compares a secret with a stored digest in constant time."""
+    return hmac.compare_digest(digest(text), expected)
+
+
+def bearer(authorization: str | None) -> str | None:
+    """Returns the token of a Bearer credential (RFC 6750, section 2.1)."""
+    if authorization is None:
+        return None
+    scheme, _, token = authorization.partition(" ")
+    token = token.strip()
+    if scheme.lower() != "bearer" or not token:
+        return None
+    return token
--- /dev/null
+++ b/src/pollenseam/leases.py
@@ -0,0 +1,254 @@
+"""Leased shares of a rate and a burst, as the lender divides them.
+
+The sum of what holders may use never exceeds the whole. A decrease counts
+only once the holder has reported it or its lease has surely ended: a holder
+counts its lease from its own send time, the lender from its answer, which is
+later. A new lender first waits out all leases of the one before it and until
+then only renews what holders report.
+"""
+
+from collections.abc import Mapping
+
+LEASE_SECONDS = 8.0
+DRIFT_SECONDS = 0.5
+IDLE_SPARE_RATIO = 0.2
+BUSY_SPARE_RATIO = 0.3
+
+
+class Whole:
+    """What a resource may use over the whole fleet.
+
+    Attributes:
+        rate: Per second.
+        burst: Above the rate.
+    """
+
+    __slots__ = ("rate", "burst")
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+
+
+class Request:
+    """What a holder reports and wants.
+
+    Attributes:
+        held: What it counts as its own now.
+        demand: Rate per second that it wants.
+        returned: Tokens that it gives up for others.
+        wanted: Tokens that it needs at once.
+    """
+
+    __slots__ = ("held", "demand", "returned", "wanted")
+
+    def __init__(
+        self,
+        held: Whole,
+        demand: float,
+        returned: float = 0.0,
+        wanted: float = 0.0,
+    ) -> None:
+        self.held = held
+        self.demand = demand
+        self.returned = returned
+        self.wanted = wanted
+
+
+class Share:
+    """What a holder may use until its lease ends.
+
+    Attributes:
+        rate: Per second.
+        burst: Above the rate.
+        tokens: Tokens handed over at once.
+    """
+
+    __slots__ = ("rate", "burst", "tokens")
+
+    def __init__(self, rate: float, burst: float, tokens: float = 0.0) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.tokens = tokens
+
+
+class Grant:
+    """What the lender must assume a holder may still use.
+
+    Attributes:
+        rate: Per second.
+        burst: Above the rate.
+        demand: Rate that the holder last asked for.
+        deadline: Lender's time after which it has surely ended.
+    """
+
+    __slots__ = ("rate", "burst", "demand", "deadline")
+
+    def __init__(
+        self, rate: float, burst: float, demand: float, deadline: float
+    ) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.demand = demand
+        self.deadline = deadline
+
+
+class Account:
+    """One resource at the lender.
+
+    What no holder has is a bucket of its own, the pool: holders whose
+    arrivals outrun their share draw on it within one round trip.
+
+    Attributes:
+        grants: By holder.
+        pool: Tokens that no holder has, at `filled_at`.
+        filled_at: Time of the last fill.
+    """
+
+    __slots__ = ("grants", "pool", "filled_at")
+
+    def __init__(self, now: float) -> None:
+        self.grants: dict[str, Grant] = {}
+        self.pool = 0.0
+        self.filled_at = now
+
+    def free(self, whole: Whole, holder: str = "") -> Whole:
+        """Returns what no holder but `holder` may be using."""
+        others = [g for name, g in self.grants.items() if name != holder]
+        rate = whole.rate - sum(grant.rate for grant in others)
+        burst = whole.burst - sum(grant.burst for grant in others)
+        return Whole(max(0.0, rate), max(0.0, burst))
+
+    def fill(self, whole: Whole, now: float) -> None:
+        """Fills the pool at the free rate, then forgets ended grants."""
+        elapsed = max(0.0, now - self.filled_at)
+        self.pool += elapsed * self.free(whole).rate
+        self.filled_at = now
+        for name in [n for n, g in self.grants.items() if g.deadline <= now]:
+            del self.grants[name]
+
+    def clip(self, whole: Whole) -> None:
+        """Loses tokens that the free burst has no room for."""
+        self.pool = min(self.pool, self.free(whole).burst)
+
+
+class Lender:
+    """Divides resources between holders; runs on the leader.
+
+    Attributes:
+        learning_deadline: Time until which leases of an earlier lender may
+            be in use; only reported ones are renewed until then.
+        accounts: By resource.
+    """
+
+    __slots__ = ("learning_deadline", "accounts")
+
+    def __init__(self, learning_deadline: float) -> None:
+        self.learning_deadline = learning_deadline
+        self.accounts: dict[str, Account] = {}
+
+    def lend(
+        self,
+        resource: str,
+        holder: str,
+        request: Request,
+        whole: Whole,
+        now: float,
+    ) -> Share:
+        """Returns the share that `holder` may use for LEASE_SECONDS.
+
+        Args:
+            resource: Path of the resource.
+            holder: VM and incarnation.
+            request: What the holder reports and wants.
+            whole: What the resource may use over the fleet now.
+            now: Lender's time.
+        """
+        account = self.accounts.get(resource)
+        if account is None:
+            account = self.accounts[resource] = Account(now)
+        if now < self.learning_deadline:
+            return self._renew(account, holder, request, now)
+        account.fill(whole, now)
+        held = _credible(request.held, account.grants.get(holder))
+        deadline = now + LEASE_SECONDS + DRIFT_SECONDS
+        grant = Grant(held.rate, held.burst, request.demand, deadline)
+        account.grants[holder] = grant
+        account.pool += max(0.0, request.returned)
+        account.clip(whole)
+        share = _divide(account, holder, request, whole)
+        # The answer may be lost: the holder may go on with what it held.
+        grant.rate = max(share.rate, held.rate)
+        grant.burst = max(share.burst, held.burst)
+        account.pool -= share.tokens
+        account.clip(whole)
+        return share
+
+    def _renew(
+        self, account: Account, holder: str, request: Request, now: float
+    ) -> Share:
+        deadline = now + LEASE_SECONDS + DRIFT_SECONDS
+        known = account.grants.get(holder)
+        held = request.held if known is None else _credible(request.held, known)
+        grant = Grant(held.rate, held.burst, request.demand, deadline)
+        account.grants[holder] = grant
+        account.filled_at = now
+        return Share(held.rate, held.burst)
+
+    def give_back(self, holder: str, now: float) -> None:
+        """Forgets all leases of a holder that has stopped using them."""
+        for account in self.accounts.values():
+            account.grants.pop(holder, None)
+
+    def total(self, resource: str, now: float) -> Whole:
+        """Returns what all holders together may use at most."""
+        account = self.accounts.get(resource)
+        grants = account.grants.values() if account else ()
+        live = [grant for grant in grants if grant.deadline > now]
+        return Whole(sum(g.rate for g in live), sum(g.burst for g in live))
+
+
+def _credible(held: Whole, known: Grant | None) -> Whole:
+    # A lease that the lender does not know has ended.
+    if known is None:
+        return Whole(0.0, 0.0)
+    return Whole(min(held.rate, known.rate), min(held.burst, known.burst))
+
+
+def _divide(
+    account: Account, holder: str, request: Request, whole: Whole
+) -> Share:
+    demands = {name: grant.demand for name, grant in account.grants.items()}
+    target = divide(demands, whole.rate)[holder]
+    free = account.free(whole, holder)
+    rate = min(target, free.rate)
+    burst = whole.burst * target / whole.rate if whole.rate > 0 else 0.0
+    if whole.burst >= len(demands):
+        # A bucket that holds less than one token never lets one out.
+        burst = max(burst, 1.0)
+    tokens = min(request.wanted, account.pool)
+    burst = min(max(burst, tokens), free.burst)
+    return Share(rate, burst, max(0.0, min(tokens, burst)))
+
+
+def divide(demands: Mapping[str, float], rate: float) -> dict[str, float]:
+    """Divides a rate by demand, max-min fair, and lends out some spare.
+
+    Where demand is below the rate, a part of the spare goes out evenly, so
+    that an idle holder can take a first request at once, and a part by
+    demand, so that a busy one can take a rise. The rest stays with the
+    lender.
+    """
+    shares = dict.fromkeys(demands, 0.0)
+    left = rate
+    waiting = sorted(demands, key=lambda name: demands[name])
+    for place, name in enumerate(waiting):
+        equal = left / (len(waiting) - place)
+        shares[name] = min(demands[name], equal)
+        left -= shares[name]
+    total = sum(shares.values())
+    for name in shares:
+        busy = shares[name] / total if total > 0 else 0.0
+        shares[name] += left * BUSY_SPARE_RATIO * busy
+        shares[name] += left * IDLE_SPARE_RATIO / len(shares)
+    return shares
--- /dev/null
+++ b/src/pollenseam/lending.py
@@ -0,0 +1,68 @@
+"""What the leader lends: the wholes of all resources, from the tree."""
+
+from pollenseam import catalog
+from pollenseam import leases
+from pollenseam import messages
+from pollenseam import settings
+from pollenseam import shifts
+from pollenseam import tree
+
+NOTHING = leases.Whole(0.0, 0.0)
+
+
+class Lending:
+    """Answers VMs' demands from the settings tree.
+
+    Attributes:
+        lender: The division between holders.
+    """
+
+    __slots__ = ("lender",)
+
+    def __init__(self, lender: leases.Lender) -> None:
+        self.lender = lender
+
+    def answer(
+        self,
+        request: messages.Lend,
+        settings_tree: tree.Tree,
+        clock_ms: int,
+        now: float,
+    ) -> list[messages.Share]:
+        """Returns the shares that a holder may use.
+
+        Args:
+            request: The holder's demands.
+            settings_tree: The settings in force.
+            clock_ms: State clock, moved on to now.
+            now: Lender's time in seconds.
+        """
+        shares: list[messages.Share] = []
+        for ask in request.asks:
+            whole = self.whole(ask.resource, settings_tree, clock_ms)
+            held = leases.Whole(ask.held_rate, ask.held_burst)
+            wants = leases.Request(held, ask.demand, ask.returned, ask.wanted)
+            share = self.lender.lend(
+                ask.resource, request.holder, wants, whole, now
+            )
+            shares.append(
+                messages.Share(
+                    ask.resource, share.rate, share.burst, share.tokens
+                )
+            )
+        return shares
+
+    def whole(
+        self, resource: str, settings_tree: tree.Tree, clock_ms: int
+    ) -> leases.Whole:
+        """Returns what a resource may use over the whole fleet now."""
+        node = settings_tree.nodes.get(resource)
+        if isinstance(node, settings.Workspace):
+            return leases.Whole(node.rate, node.burst)
+        if isinstance(node, settings.Shift):
+            return shifts.whole(node, clock_ms - node.started_ms)
+        prefix, _, name = resource.rpartition("/")
+        region = settings_tree.fleet().regions.get(name)
+        if region is not None and resource == catalog.region_path(name):
+            return shifts.region(region.accept_rate)
+        return NOTHING
--- /dev/null
+++ b/src/pollenseam/lifecycles.py
@@ -0,0 +1,91 @@
+"""The life cycles that have names, as state machines."""
+
+import enum
+
+import transitions
+
+
+class VmState(enum.StrEnum):
+    """States of a VM, in the order in which it goes through them."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class UpstreamState(enum.StrEnum):
+    """States of an upstream, in the order in which it goes through them."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class ShiftState(enum.StrEnum):
+    """States of a shift at one VM."""
+
+    IDLE = "idle"
+    RAMPING = "ramping"
+    FULL = "full"
+    HELD = "held"
+
+
+RANKS = {state: rank for rank, state in enumerate(UpstreamState)}
+
+VM_TRANSITIONS = [
+    {"trigger": "serve", "source": "starting", "dest": "serving"},
+    {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
+    {"trigger": "finish", "source": "leaving", "dest": "gone"},
+]
+
+SHIFT_TRANSITIONS = [
+    {"trigger": "begin", "source": "idle", "dest": "ramping"},
+    {"trigger": "fill", "source": "ramping", "dest": "full"},
+    {"trigger": "hold", "source": ["ramping", "full"], "dest": "held"},
+    {"trigger": "resume", "source": "held", "dest": "ramping"},
+    {"trigger": "end", "source": "*", "dest": "idle"},
+]
+
+
+class LifeCycle:
+    """A named state and the triggers that move it.
+
+    Attributes:
+        state: Name of the current state.
+    """
+
+    state: str
+
+    def __init__(
+        self, states: type[enum.StrEnum], table: list[dict[str, object]]
+    ) -> None:
+        self.machine = transitions.Machine(
+            self,
+            states=[state.value for state in states],
+            transitions=table,
+            initial=next(iter(states)).value,
+            auto_transitions=False,
+        )
+
+    def fire(self, trigger: str) -> bool:
+        """Fires a trigger; False when the state does not allow it."""
+        if not self.may_trigger(trigger):
+            return False
+        self.trigger(trigger)  # type: ignore[attr-defined]
+        return True
+
+    def may_trigger(self, trigger: str) -> bool:
+        """Tells whether the state allows a trigger."""
+        return trigger in self.machine.get_triggers(self.state)
+
+
+def vm() -> LifeCycle:
+    """Returns the life cycle of a VM that is starting."""
+    return LifeCycle(VmState, VM_TRANSITIONS)
+
+
+def shift() -> LifeCycle:
+    """Returns the life cycle of a shift that is idle."""
+    return LifeCycle(ShiftState, SHIFT_TRANSITIONS)
--- /dev/null
+++ b/src/pollenseam/messages.py
@@ -0,0 +1,376 @@
+"""The messages between replicas and between VMs, and their codec."""
+
+import msgspec
+
+from pollenseam import settings
+from pollenseam import tree
+
+
+class Message(msgspec.Struct, tag=True, array_like=True):
+    """Base of every message."""
+
+
+class Entry(msgspec.Struct, array_like=True):
+    """One entry of the quorum log.
+
+    Attributes:
+        index: Position in the log, from 1.
+        term: Term of the leader that appended it.
+        elapsed_ms: Leader's time since its previous entry.
+        members: The configuration, on a configuration entry.
+        command: Encoded command, on any other entry.
+    """
+
+    index: int
+    term: int
+    elapsed_ms: int = 0
+    members: "Members | None" = None
+    command: bytes = b""
+
+
+class Members(msgspec.Struct, array_like=True):
+    """A configuration of the quorum: addresses by replica id.
+
+    Attributes:
+        voters: Replicas that vote and count.
+        learners: Replicas that only receive the log.
+    """
+
+    voters: dict[str, str]
+    learners: dict[str, str] = {}
+
+
+class Vote(Message, tag="v"):
+    """Asks for a vote; `pre` asks whether one would be given.
+
+    Attributes:
+        transfer: Set when the leader itself asked for this election.
+    """
+
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre: bool
+    transfer: bool = False
+
+
+class VoteAnswer(Message, tag="va"):
+    """Answers a Vote; `term` is the one asked about when granted."""
+
+    term: int
+    voter: str
+    granted: bool
+    pre: bool
+
+
+class Append(Message, tag="a"):
+    """Carries entries, or none as a heartbeat.
+
+    Attributes:
+        sent_at: Leader's monotonic time in seconds, echoed in the answer.
+    """
+
+    term: int
+    leader: str
+    previous_index: int
+    previous_term: int
+    commit: int
+    sent_at: float
+    entries: list[Entry] = []
+
+
+class AppendAnswer(Message, tag="aa"):
+    """Answers an Append.
+
+    Attributes:
+        index: Last index known to match and synced, or a hint on refusal.
+    """
+
+    term: int
+    follower: str
+    accepted: bool
+    index: int
+    sent_at: float
+
+
+class Install(Message, tag="i"):
+    """One chunk of a snapshot.
+
+    Attributes:
+        offset: Position of `data` in the snapshot.
+        size: Size of the whole snapshot in bytes.
+    """
+
+    term: int
+    leader: str
+    index: int
+    last_term: int
+    members: Members
+    offset: int
+    size: int
+    data: bytes
+    sent_at: float
+
+
+class InstallAnswer(Message, tag="ia"):
+    """Answers a chunk; `offset` is where the follower wants the next one."""
+
+    term: int
+    follower: str
+    index: int
+    offset: int
+    sent_at: float
+
+
+class TimeoutNow(Message, tag="t"):
+    """Asks a follower to stand for election at once."""
+
+    term: int
+    leader: str
+
+
+AnyMessage = (
+    Vote
+    | VoteAnswer
+    | Append
+    | AppendAnswer
+    | Install
+    | InstallAnswer
+    | TimeoutNow
+)
+
+
+class Batch(msgspec.Struct, array_like=True):
+    """Replica messages in sending order, with the sender's logical time."""
+
+    sender: str
+    receiver: str
+    logical: int
+    messages: list[AnyMessage]
+
+
+class Fetch(msgspec.Struct, array_like=True):
+    """Asks for settings after `index`, waiting up to `wait_ms` for news."""
+
+    vm: str
+    index: int
+    wait_ms: int
+    logical: int
+
+
+class Feed(msgspec.Struct, array_like=True):
+    """Answers a Fetch.
+
+    Attributes:
+        index: Index that the receiver is at afterwards.
+        age_ms: Age of the settings at the moment of the answer; -1 when
+            the sender does not know it.
+        deltas: Writes after the asked index; None when `nodes` is whole.
+        nodes: The whole tree, when deltas would not do.
+    """
+
+    index: int
+    age_ms: int
+    logical: int
+    deltas: list[tree.Delta] | None = None
+    nodes: dict[str, settings.AnyNode] | None = None
+
+
+class Submit(msgspec.Struct, array_like=True):
+    """Hands a command to the leader, directly or through another replica."""
+
+    command: bytes
+    hops: int
+    logical: int
+
+
+class Submitted(msgspec.Struct, array_like=True):
+    """Answers a Submit; `kind` is set when nothing was decided."""
+
+    outcome: bytes
+    kind: str
+    detail: str
+    logical: int
+
+
+class Ask(msgspec.Struct, array_like=True):
+    """A VM's demand for one leased resource.
+
+    Attributes:
+        resource: Path of the workspace, shift or region.
+        held_rate: Rate per second the holder counts as its own now.
+        held_burst: Burst the holder counts as its own now.
+        demand: Rate per second wanted.
+        returned: Tokens given up for others.
+        wanted: Tokens needed at once.
+    """
+
+    resource: str
+    held_rate: float
+    held_burst: float
+    demand: float
+    returned: float = 0.0
+    wanted: float = 0.0
+
+
+class Lend(msgspec.Struct, array_like=True):
+    """A VM's demands, sent to the leader."""
+
+    holder: str
+    asks: list[Ask]
+    logical: int
+
+
+class Share(msgspec.Struct, array_like=True):
+    """What a holder may use of one resource."""
+
+    resource: str
+    rate: float
+    burst: float
+    tokens: float = 0.0
+
+
+class Lent(msgspec.Struct, array_like=True):
+    """Answers a Lend.
+
+    Attributes:
+        ttl_ms: Validity, counted by the holder from its own send time;
+            0 when the sender cannot lend.
+        leader: Address of the leader, if another replica was asked.
+    """
+
+    ttl_ms: int
+    leader: str
+    shares: list[Share]
+    logical: int
+
+
+class Vm(msgspec.Struct, array_like=True):
+    """A VM's own record in the membership.
+
+    Attributes:
+        name: Name, unique in the fleet.
+        incarnation: Start time; a later start overrides an earlier one.
+        beat: Counts up while the VM lives.
+        state: starting, serving, leaving or gone.
+        region: Its region.
+        failure_domain: Its failure domain.
+        caller_address: Where callers reach it.
+        peer_address: Where VMs reach it.
+        replica_id: Its replica id, or "".
+        age_ms: Age of its settings when it wrote the record.
+        index: Index of the settings that it has in force.
+        load: Requests in flight over the slots it knows.
+    """
+
+    name: str
+    incarnation: int
+    beat: int
+    state: str
+    region: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    replica_id: str
+    age_ms: int
+    index: int
+    load: float
+
+
+class Upstream(msgspec.Struct, array_like=True):
+    """An upstream's record in the membership.
+
+    Attributes:
+        service: Path of the service.
+        name: Name, unique in the service.
+        incarnation: Chosen by the upstream; a later one overrides.
+        beat: Counts announcements of this incarnation.
+        state: starting, serving, leaving or gone.
+        address: IP:PORT.
+        region: Its region.
+        failure_domain: Its failure domain.
+        slots: Requests it runs at a time.
+        connections: Connections it accepts.
+        load: Requests it said it was running.
+        ttl_ms: What is left of its time to live at sending.
+    """
+
+    service: str
+    name: str
+    incarnation: int
+    beat: int
+    state: str
+    address: str
+    region: str
+    failure_domain: str
+    slots: int
+    connections: int
+    load: float
+    ttl_ms: int
+
+
+class Gossip(msgspec.Struct, array_like=True):
+    """Records that changed since the last exchange with the receiver.
+
+    Attributes:
+        whole: Asks the receiver for all of its records in return.
+    """
+
+    sender: str
+    logical: int
+    vms: list[Vm]
+    upstreams: list[Upstream]
+    whole: bool = False
+
+
+class ReadIndex(msgspec.Struct, array_like=True):
+    """Asks for an index that a linearizable read has to wait for."""
+
+    logical: int
+
+
+class ReadAt(msgspec.Struct, array_like=True):
+    """Answers a ReadIndex; `index` is -1 when the receiver cannot tell."""
+
+    index: int
+    logical: int
+
+
+class ReplicaChange(msgspec.Struct, array_like=True):
+    """Asks the leader to add or remove a replica.
+
+    Attributes:
+        token_digest: Digest of the operator's token.
+        name: VM name, or replica id when removing.
+        address: Peer address when adding; "" removes.
+    """
+
+    token_digest: str
+    name: str
+    address: str
+    logical: int
+
+
+class ProbeReplica(msgspec.Struct, array_like=True):
+    """Asks a replica who it is, before the first start of the quorum."""
+
+    name: str
+    replica_id: str
+    logical: int
+
+
+class ReplicaProbed(msgspec.Struct, array_like=True):
+    """Answers a ProbeReplica; `members` is None before the first start."""
+
+    replica_id: str
+    members: Members | None
+    logical: int
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Returns the bytes of a message."""
+    return _encoder.encode(message)
+
+
+_encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/src/pollenseam/standins/caller.py
@@ -0,0 +1,253 @@
+"""A stand-in caller: open-loop arrivals and corrected latencies."""
+
+import asyncio
+import collections
+import json
+import random
+import time
+
+import aiohttp
+import defopt
+from hdrh import histogram
+
+HIGHEST_MICROSECONDS = 600_000_000
+
+
+class Plan:
+    """What to send.
+
+    Attributes:
+        host: Host header.
+        path: Request target.
+        key: Key, or "".
+        rate: Requests per second; arrivals are a Poisson process.
+        seconds: Time to go on for.
+        method: HTTP method.
+        body: Request body.
+        timeout: Seconds after which a request counts as failed.
+        headers: Further headers.
+    """
+
+    __slots__ = (
+        "host",
+        "path",
+        "key",
+        "rate",
+        "seconds",
+        "method",
+        "body",
+        "timeout",
+        "headers",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        path: str,
+        key: str,
+        rate: float,
+        seconds: float,
+        method: str = "GET",
+        body: bytes = b"",
+        timeout: float = 10.0,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        self.host = host
+        self.path = path
+        self.key = key
+        self.rate = rate
+        self.seconds = seconds
+        self.method = method
+        self.body = body
+        self.timeout = timeout
+        self.headers = headers or {}
+
+
+class Tally:
+    """What came back.
+
+    Attributes:
+        latencies: Microseconds from the planned arrival, so that a late
+            start of a request counts (no coordinated omission).
+        answers: Count by status, or by kind of a refusal.
+        finished: (seconds since the start, outcome) of each request.
+    """
+
+    def __init__(self) -> None:
+        self.latencies = histogram.HdrHistogram(1, HIGHEST_MICROSECONDS, 3)
+        self.answers: collections.Counter[str] = collections.Counter()
+        self.vms: collections.Counter[str] = collections.Counter()
+        self.finished: list[tuple[float, str]] = []
+
+    @property
+    def total(self) -> int:
+        """Requests sent."""
+        return sum(self.answers.values())
+
+    def quantile_ms(self, percent: float) -> float:
+        """Returns a quantile of the latency of good answers, in ms."""
+        return float(self.latencies.get_value_at_percentile(percent)) / 1000
+
+    def summary(self) -> dict[str, object]:
+        """Returns the figures for a report."""
+        return {
+            "total": self.total,
+            "answers": dict(self.answers),
+            "p50_ms": self.quantile_ms(50),
+            "p99_ms": self.quantile_ms(99),
+            "p999_ms": self.quantile_ms(99.9),
+        }
+
+
+class Chooser:
+    """Chooses entry VMs as look-ups say, and asks again after max-age."""
+
+    def __init__(self, seeds: list[str], service: str, seed: int) -> None:
+        self.seeds = seeds
+        self.service = service
+        self.random = random.Random(seed)
+        self.entries: list[tuple[str, float]] = []
+        self.deadline = 0.0
+        self._lock = asyncio.Lock()
+
+    async def choose(self, session: aiohttp.ClientSession) -> str:
+        """Returns the address of an entry VM of the nearest region."""
+        if time.monotonic() >= self.deadline:
+            async with self._lock:
+                if time.monotonic() >= self.deadline:
+                    await self._refresh(session)
+        names = [name for name, _ in self.entries]
+        weights = [weight for _, weight in self.entries]
+        return self.random.choices(names, weights)[0]
+
+    async def _refresh(self, session: aiohttp.ClientSession) -> None:
+        known = [name for name, _ in self.entries]
+        for address in [*known, *self.seeds]:
+            url = f"http://{address}/.pollenseam/lookup"
+            timeout = aiohttp.ClientTimeout(total=1.0)
+            try:
+                async with session.get(
+                    url, params={"service": self.service}, timeout=timeout
+                ) as response:
+                    body = await response.json()
+                    age = response.headers["Cache-Control"].partition("=")[2]
+                    self._take_in(body["entries"], float(age))
+                    return
+            except (aiohttp.ClientError, OSError, TimeoutError, KeyError):
+                continue
+        self.entries = [(seed, 1.0) for seed in self.seeds]
+        self.deadline = time.monotonic() + 0.5
+
+    def _take_in(self, entries: list[dict[str, object]], age: float) -> None:
+        if not entries:
+            raise KeyError("entries")
+        first = entries[0]["region"]
+        near = [e for e in entries if e["region"] == first]
+        self.entries = [
+            (str(e["address"]), float(str(e["weight"]))) for e in near
+        ]
+        self.deadline = time.monotonic() + age
+
+
+async def send(
+    session: aiohttp.ClientSession, address: str, plan: Plan
+) -> tuple[str, str]:
+    """Sends one request; returns its outcome and the VM that answered."""
+    headers = {"Host": plan.host, **plan.headers}
+    if plan.key:
+        headers["Authorization"] = f"Bearer {plan.key}"
+    timeout = aiohttp.ClientTimeout(total=plan.timeout)
+    try:
+        async with session.request(
+            plan.method,
+            f"http://{address}{plan.path}",
+            headers=headers,
+            data=plan.body or None,
+            timeout=timeout,
+        ) as response:
+            body = await response.read()
+            vm = response.headers.get("Pollenseam-Vm", "")
+            if response.headers.get("Content-Type", "").startswith(
+                "application/problem"
+            ):
+                return str(json.loads(body)["kind"]), vm
+            return str(response.status), vm
+    except TimeoutError:
+        return "timeout", ""
+    except (aiohttp.ClientError, OSError):
+        return "broken", ""
+
+
+async def run_plan(
+    plan: Plan, chooser: Chooser, seed: int, tally: Tally | None = None
+) -> Tally:
+    """Sends requests at planned times, whether or not answers came."""
+    found = tally or Tally()
+    source = random.Random(seed)
+    started = time.monotonic()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        async with asyncio.TaskGroup() as group:
+            at = 0.0
+            while True:
+                at += source.expovariate(plan.rate)
+                if at >= plan.seconds:
+                    break
+                delay = started + at - time.monotonic()
+                if delay > 0:
+                    await asyncio.sleep(delay)
+                group.create_task(
+                    _one(session, plan, chooser, found, started, at)
+                )
+    return found
+
+
+async def _one(
+    session: aiohttp.ClientSession,
+    plan: Plan,
+    chooser: Chooser,
+    tally: Tally,
+    started: float,
+    at: float,
+) -> None:
+    address = await chooser.choose(session)
+    outcome, vm = await send(session, address, plan)
+    elapsed = time.monotonic() - started - at
+    tally.answers[outcome] += 1
+    tally.vms[vm] += 1
+    tally.finished.append((at + elapsed, outcome))
+    if outcome.startswith("2"):
+        tally.latencies.record_value(max(1, int(elapsed * 1e6)))
+
+
+def run(
+    *,
+    entries: str,
+    service: str,
+    host: str,
+    path: str = "/",
+    key: str = "",
+    rate: float = 10.0,
+    seconds: float = 5.0,
+    seed: int = 0,
+) -> None:
+    """Sends open-loop requests and prints a summary as JSON.
+
+    Args:
+        entries: Caller addresses to ask for look-ups.
+        service: Service to look up.
+        host: Host header.
+        path: Request target.
+        key: The workspace's key.
+        rate: Requests per second.
+        seconds: Time to go on for.
+        seed: Seed of the arrivals.
+    """
+    plan = Plan(host, path, key, rate, seconds)
+    chooser = Chooser(entries.split(","), service, seed)
+    tally = asyncio.run(run_plan(plan, chooser, seed))
+    print(json.dumps(tally.summary(), indent=2))
+
+
+if __name__ == "__main__":
+    defopt.run(run, short={})
--- /dev/null
+++ b/src/pollenseam/standins/upstream.py
@@ -0,0 +1,366 @@
+"""A stand-in upstream: slots, cold start, shed, drain, lagging load."""
+
+import asyncio
+import collections
+import json
+import random
+import signal
+import sys
+import time
+
+import aiohttp
+import defopt
+from aiohttp import web
+
+ANNOUNCE_TTL_MS = 3000
+COLD_REQUESTS = 20
+BIG_CHUNK = b"x" * 65536
+
+
+class Behaviour:
+    """How the stand-in behaves.
+
+    Attributes:
+        slots: Requests that it runs at a time.
+        work_ms: Mean time of one request.
+        cold_ms: Added to the first request, fading over COLD_REQUESTS.
+        error_ratio: Share of requests answered 500, faster than the others.
+        load_lag_ms: Age of the load that it reports.
+        reported_load: Load that it claims instead of the true one, or None.
+        sheds: Whether it refuses when full, or queues.
+    """
+
+    __slots__ = (
+        "slots",
+        "work_ms",
+        "cold_ms",
+        "error_ratio",
+        "load_lag_ms",
+        "reported_load",
+        "sheds",
+    )
+
+    def __init__(
+        self,
+        slots: int = 3,
+        work_ms: float = 10.0,
+        cold_ms: float = 0.0,
+        error_ratio: float = 0.0,
+        load_lag_ms: float = 0.0,
+        reported_load: float | None = None,
+        sheds: bool = True,
+    ) -> None:
+        self.slots = slots
+        self.work_ms = work_ms
+        self.cold_ms = cold_ms
+        self.error_ratio = error_ratio
+        self.load_lag_ms = load_lag_ms
+        self.reported_load = reported_load
+        self.sheds = sheds
+
+
+class Upstream:
+    """A server with a few slots.
+
+    Attributes:
+        name: Its name in announcements and answers.
+        behaviour: How it behaves.
+        running: Requests that run now.
+        most: Most requests that ran at a time.
+        runs: Finished or started runs by request id.
+        seen: Names and values of the headers of the last requests.
+        cut_off: Requests that were cancelled under way.
+    """
+
+    def __init__(self, name: str, behaviour: Behaviour, seed: int = 0) -> None:
+        self.name = name
+        self.behaviour = behaviour
+        self.running = 0
+        self.most = 0
+        self.total = 0
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.seen: collections.deque[list[list[str]]] = collections.deque(
+            maxlen=50
+        )
+        self.cut_off = 0
+        self.random = random.Random(seed)
+        self.state = "serving"
+        self._loads: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=10_000
+        )
+        self._slots = asyncio.Semaphore(behaviour.slots)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request; the path chooses special behaviour."""
+        page = request.path
+        if page == "/health":
+            return web.json_response({"state": self.state})
+        if page == "/load":
+            return web.json_response({"load": self.load()})
+        if page == "/runs":
+            return web.json_response(self._report())
+        self.seen.append([[k, v] for k, v in request.headers.items()])
+        if self.running >= self.behaviour.slots and self.behaviour.sheds:
+            headers = {"Pollenseam-Shed": "yes"}
+            return web.Response(status=503, headers=headers)
+        async with self._slots:
+            return await self._run(request)
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "name": self.name,
+            "total": self.total,
+            "most": self.most,
+            "running": self.running,
+            "cut_off": self.cut_off,
+            "runs": self.runs,
+            "seen": list(self.seen),
+        }
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.running += 1
+        self.total += 1
+        self.most = max(self.most, self.running)
+        self._note_load()
+        id = request.headers.get("Idempotency-Key") or request.headers.get(
+            "X-Request-Id"
+        )
+        if id:
+            self.runs[id] += 1
+        try:
+            return await self._answer(request)
+        except asyncio.CancelledError:
+            self.cut_off += 1
+            raise
+        finally:
+            self.running -= 1
+            self._note_load()
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        if self.random.random() < self.behaviour.error_ratio:
+            return web.Response(status=500, text="broken")
+        await asyncio.sleep(self._work_seconds(request))
+        special = _SPECIAL.get(request.path.rpartition("/")[2])
+        if special is not None:
+            return await special(request)
+        if request.path.endswith("/echo"):
+            return web.Response(body=body, headers={"X-Upstream": self.name})
+        return web.json_response(
+            {"upstream": self.name, "run": self.total, "bytes": len(body)}
+        )
+
+    def _work_seconds(self, request: web.BaseRequest) -> float:
+        asked = request.headers.get("X-Work-Ms")
+        if asked is not None:
+            return float(asked) / 1000
+        mean = self.behaviour.work_ms
+        warm = min(1.0, self.total / COLD_REQUESTS)
+        cold = self.behaviour.cold_ms * (1 - warm)
+        return (self.random.uniform(0.5, 1.5) * mean + cold) / 1000
+
+    def _note_load(self) -> None:
+        self._loads.append((time.monotonic(), self.running))
+
+    def load(self) -> float:
+        """Returns the load that it reports, late or misleading."""
+        if self.behaviour.reported_load is not None:
+            return self.behaviour.reported_load
+        until = time.monotonic() - self.behaviour.load_lag_ms / 1000
+        load = 0
+        for at, running in self._loads:
+            if at > until:
+                break
+            load = running
+        return float(load)
+
+
+async def _cut(request: web.BaseRequest) -> web.StreamResponse:
+    response = web.StreamResponse()
+    response.content_length = 1000
+    await response.prepare(request)
+    await response.write(b"half")
+    assert request.transport is not None
+    request.transport.abort()
+    return response
+
+
+async def _reset(request: web.BaseRequest) -> web.StreamResponse:
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+async def _cut_chunked(request: web.BaseRequest) -> web.StreamResponse:
+    response = web.StreamResponse()
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    await response.write(b"half")
+    await asyncio.sleep(0.05)
+    assert request.transport is not None
+    request.transport.abort()
+    return response
+
+
+async def _big(request: web.BaseRequest) -> web.StreamResponse:
+    response = web.StreamResponse()
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    for _ in range(int(request.query.get("chunks", "64"))):
+        await response.write(BIG_CHUNK)
+    await response.write_eof()
+    return response
+
+
+async def _empty(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(status=204)
+
+
+_SPECIAL = {
+    "cut": _cut,
+    "cut-chunked": _cut_chunked,
+    "reset": _reset,
+    "big": _big,
+    "empty": _empty,
+}
+
+
+class Announcer:
+    """Announces a stand-in to entry VMs of its failure domain.
+
+    Attributes:
+        body: The announcement, its state aside.
+        addresses: Caller addresses of entry VMs, tried in turn.
+        key: The announcing key.
+    """
+
+    def __init__(
+        self, body: dict[str, object], addresses: list[str], key: str
+    ) -> None:
+        self.body = body
+        self.addresses = addresses
+        self.key = key
+        self.session = aiohttp.ClientSession()
+        self.last_status = 0
+
+    async def announce(self, state: str, load: float) -> bool:
+        """Announces once, to the first VM that takes it."""
+        body = {**self.body, "state": state, "load": load}
+        headers = {"Authorization": f"Bearer {self.key}"}
+        for address in self.addresses:
+            url = f"http://{address}/.pollenseam/announce"
+            timeout = aiohttp.ClientTimeout(total=1.0)
+            try:
+                async with self.session.post(
+                    url, json=body, headers=headers, timeout=timeout
+                ) as response:
+                    self.last_status = response.status
+                    if response.status == 200:
+                        return True
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                continue
+        return False
+
+
+async def _serve(
+    stand_in: Upstream, announcer: Announcer, host: str, port: int
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    server = web.Server(
+        stand_in.handle, handler_cancellation=True, access_log=None
+    )
+    listener = await loop.create_server(server, host, port, backlog=512)
+    while not stop.is_set():
+        done = await announcer.announce("serving", stand_in.load())
+        try:
+            async with asyncio.timeout(0.5 if done else 0.2):
+                await stop.wait()
+        except TimeoutError:
+            continue
+    stand_in.state = "leaving"
+    deadline = time.monotonic() + 20
+    quiet = time.monotonic() + 3.0
+    while time.monotonic() < deadline:
+        await announcer.announce("leaving", stand_in.load())
+        if stand_in.running == 0 and time.monotonic() > quiet:
+            break
+        await asyncio.sleep(0.2)
+    listener.close()
+    await server.shutdown(1.0)
+    await announcer.session.close()
+
+
+def run(
+    *,
+    name: str,
+    service: str,
+    address: str,
+    region: str,
+    failure_domain: str,
+    announce_to: str,
+    key: str,
+    slots: int = 3,
+    connections: int = 400,
+    work_ms: float = 10.0,
+    cold_ms: float = 0.0,
+    error_ratio: float = 0.0,
+    load_lag_ms: float = 0.0,
+    reported_load: float = -1.0,
+    queues: bool = False,
+    seed: int = 0,
+) -> None:
+    """Runs a stand-in upstream until SIGTERM, then drains it.
+
+    Args:
+        name: Name of the upstream.
+        service: Service that it announces.
+        address: IP:PORT to serve on.
+        region: Its region.
+        failure_domain: Its failure domain.
+        announce_to: Caller addresses of entry VMs.
+        key: Announcing key.
+        slots: Requests that it runs at a time.
+        connections: Connections that it announces.
+        work_ms: Mean time of a request.
+        cold_ms: Extra time of the first request.
+        error_ratio: Share of fast errors.
+        load_lag_ms: Age of the reported load.
+        reported_load: Load that it claims; below 0 for the true one.
+        queues: Queue instead of shedding when full.
+        seed: Seed of its randomness.
+    """
+    behaviour = Behaviour(
+        slots,
+        work_ms,
+        cold_ms,
+        error_ratio,
+        load_lag_ms,
+        None if reported_load < 0 else reported_load,
+        not queues,
+    )
+    host, _, port = address.rpartition(":")
+
+    async def main() -> None:
+        stand_in = Upstream(name, behaviour, seed)
+        body: dict[str, object] = {
+            "service": service,
+            "upstream": name,
+            "address": address,
+            "region": region,
+            "failure_domain": failure_domain,
+            "slots": slots,
+            "connections": connections,
+            "incarnation": time.time_ns() // 1_000_000,
+            "ttl_ms": ANNOUNCE_TTL_MS,
+        }
+        announcer = Announcer(body, announce_to.split(","), key)
+        await _serve(stand_in, announcer, host, int(port))
+        print(json.dumps(stand_in._report()), file=sys.stderr)
+
+    asyncio.run(main())
+
+
+if __name__ == "__main__":
+    defopt.run(run, short={})
--- /dev/null
+++ b/src/pollenseam/state.py
@@ -0,0 +1,369 @@
+"""The replicated state machine: settings tree, change ids and claims."""
+
+import collections
+import functools
+import hmac
+
+import msgspec
+
+from pollenseam import claims
+from pollenseam import commands
+from pollenseam import errors
+from pollenseam import settings
+from pollenseam import tree
+
+MAX_CHANGE_IDS = 20_000
+ROOT_OPERATOR = "/operators/root"
+
+
+class Memory(msgspec.Struct, array_like=True):
+    """What is remembered of one change id."""
+
+    body_digest: str
+    outcome: commands.Outcome
+
+
+class Image(msgspec.Struct, array_like=True):
+    """A whole State as it stands in a snapshot.
+
+    Attributes:
+        index: Last applied index.
+        clock_ms: State clock.
+        nodes: Nodes of the tree by path.
+        versions: Version of each path, removed ones included.
+        changes: Remembered change ids, oldest first.
+        claims: Claims as (workspace, key, claim), oldest first.
+    """
+
+    index: int
+    clock_ms: int
+    nodes: dict[str, settings.AnyNode]
+    versions: dict[str, int]
+    changes: list[tuple[str, Memory]]
+    claims: list[tuple[str, str, claims.Claim]]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Image)
+
+
+class State:
+    """The state that every replica builds from the same log.
+
+    Attributes:
+        clock_ms: Sum of the leaders' elapsed time; never faster than real
+            time.
+        tree: The settings tree, with keys and operators.
+        changes: Remembered change ids, oldest first, bounded.
+        ledger: At-most-once claims.
+    """
+
+    __slots__ = ("clock_ms", "tree", "changes", "ledger")
+
+    def __init__(self) -> None:
+        self.clock_ms = 0
+        self.tree = tree.Tree()
+        self.changes: collections.OrderedDict[str, Memory] = (
+            collections.OrderedDict()
+        )
+        self.ledger = claims.Ledger()
+
+    @property
+    def index(self) -> int:
+        """Last applied index."""
+        return self.tree.index
+
+    def apply(
+        self, index: int, elapsed_ms: int, command: commands.AnyCommand
+    ) -> commands.Outcome:
+        """Carries out one committed command and returns its outcome."""
+        self.tree.index = index
+        self.clock_ms += elapsed_ms
+        outcome = carry_out(command, self)
+        outcome.index = outcome.index or index
+        return outcome
+
+    def replace(self, other: "State") -> None:
+        """Takes over a later state, as a snapshot brought it."""
+        self.clock_ms = other.clock_ms
+        self.changes = other.changes
+        self.ledger = other.ledger
+        self.tree.replace(other.tree)
+
+    def operator(self, token_digest: str) -> settings.Operator | None:
+        """Returns the operator whose token has this digest."""
+        found = None
+        for node in self.tree.nodes.values():
+            if isinstance(node, settings.Operator) and hmac.compare_digest(
+                node.digest, token_digest
+            ):
+                found = node
+        return found
+
+    def find(self, command: commands.Withdraw) -> str:
+        """Returns the path of the secret that a command withdraws, or ""."""
+        if command.collection == "operators":
+            path = f"/operators/{command.id}"
+            return path if path in self.tree.nodes else ""
+        suffix = f"/keys/{command.id}"
+        found = [p for p in self.tree.nodes if p.endswith(suffix)]
+        return found[0] if found else ""
+
+    def remember(self, change_id: str, memory: Memory) -> None:
+        """Remembers a change id; forgets the oldest beyond the bound."""
+        self.changes[change_id] = memory
+        while len(self.changes) > MAX_CHANGE_IDS:
+            self.changes.popitem(last=False)
+
+    def dump(self) -> bytes:
+        """Returns the snapshot of the whole state."""
+        ledger = self.ledger.claims.items()
+        image = Image(
+            self.index,
+            self.clock_ms,
+            self.tree.nodes,
+            self.tree.versions,
+            list(self.changes.items()),
+            [(*place, claim) for place, claim in ledger],
+        )
+        return _encoder.encode(image)
+
+
+def load(data: bytes) -> State:
+    """Returns the state that a snapshot holds.
+
+    Raises:
+        msgspec.ValidationError: The bytes are no snapshot.
+    """
+    image = _decoder.decode(data)
+    state = State()
+    state.clock_ms = image.clock_ms
+    state.tree = tree.whole(image.nodes, image.index, image.versions)
+    state.changes.update(image.changes)
+    for workspace, key, claim in image.claims:
+        state.ledger.claims[workspace, key] = claim
+        state.ledger.counts[workspace] += 1
+    return state
+
+
+@functools.singledispatch
+def carry_out(command: object, state: State) -> commands.Outcome:
+    """Carries out one command on the state."""
+    raise TypeError(f"no handler for {type(command).__name__}")
+
+
+@carry_out.register
+def _(command: commands.Advance, state: State) -> commands.Outcome:
+    state.ledger.expire(state.clock_ms)
+    return commands.Outcome()
+
+
+@carry_out.register
+def _(command: commands.Found, state: State) -> commands.Outcome:
+    if ROOT_OPERATOR not in state.tree.nodes:
+        root = settings.Operator(command.root_digest, "/")
+        state.tree.write([tree.Write(ROOT_OPERATOR, root)])
+    return commands.Outcome()
+
+
+@carry_out.register
+def _(command: commands.OpenClaim, state: State) -> commands.Outcome:
+    retention_ms = state.tree.fleet().claim_retention_ms
+    return state.ledger.open(command, state.clock_ms, retention_ms)
+
+
+@carry_out.register
+def _(command: commands.CloseClaim, state: State) -> commands.Outcome:
+    return state.ledger.close(command)
+
+
+@carry_out.register
+def _(command: commands.ReleaseClaim, state: State) -> commands.Outcome:
+    return state.ledger.release(command)
+
+
+@carry_out.register
+def _(command: commands.Change, state: State) -> commands.Outcome:
+    operator = state.operator(command.token_digest)
+    if operator is None:
+        return _refuse(errors.Kind.KEY_UNKNOWN, "the token is not known")
+    digest = commands.body_digest(command)
+    memory = state.changes.get(command.change_id)
+    if memory is not None:
+        if memory.body_digest == digest:
+            return memory.outcome
+        detail = f"change id {command.change_id!r} was used for another change"
+        return _refuse(errors.Kind.CHANGE_REUSED, detail)
+    path = target(command, state)
+    if not path:
+        return _refuse(errors.Kind.NO_ROUTE, "nothing stands at this path")
+    if not settings.within(path, operator.subtree):
+        detail = f"the token owns {operator.subtree}, not {path}"
+        return _refuse(errors.Kind.FORBIDDEN, detail)
+    outcome = change(command, state)
+    outcome.index = state.index
+    outcome.version = state.tree.version(path)
+    state.remember(command.change_id, Memory(digest, outcome))
+    return outcome
+
+
+def _refuse(kind: errors.Kind, detail: str) -> commands.Outcome:
+    return commands.Outcome(kind, detail)
+
+
+@functools.singledispatch
+def target(command: object, state: State) -> str:
+    """Returns the path that a change needs permission for; "" if none."""
+    raise TypeError(f"no target for {type(command).__name__}")
+
+
+@target.register
+def _(command: commands.ApplySettings, state: State) -> str:
+    return command.at
+
+
+@target.register
+def _(command: commands.PutNode, state: State) -> str:
+    return _owned(command.path, command.node)
+
+
+@target.register
+def _(command: commands.Withdraw, state: State) -> str:
+    path = state.find(command)
+    return _owned(path, state.tree.nodes[path]) if path else ""
+
+
+@target.register
+def _(command: commands.SetShift, state: State) -> str:
+    return command.path
+
+
+def _owned(path: str, node: settings.AnyNode) -> str:
+    # A token may only be issued for a subtree that its issuer owns.
+    return node.subtree if isinstance(node, settings.Operator) else path
+
+
+@functools.singledispatch
+def change(command: object, state: State) -> commands.Outcome:
+    """Carries out a change that is permitted and new."""
+    raise TypeError(f"no handler for {type(command).__name__}")
+
+
+@change.register
+def _(command: commands.ApplySettings, state: State) -> commands.Outcome:
+    version = state.tree.version(command.at)
+    if command.expect_version not in (None, version):
+        detail = f"{command.at} is at version {version}"
+        return _refuse(errors.Kind.CONFLICT, detail)
+    merged = _replace(state.tree.nodes, command)
+    missing = dangling(merged)
+    if missing:
+        return _refuse(errors.Kind.MALFORMED, missing)
+    writes = [
+        tree.Write(path, merged.get(path))
+        for path in sorted(state.tree.nodes.keys() | merged.keys())
+        if state.tree.nodes.get(path) != merged.get(path)
+    ]
+    state.tree.write(writes)
+    return commands.Outcome()
+
+
+def _replace(
+    nodes: settings.Nodes, command: commands.ApplySettings
+) -> settings.Nodes:
+    kept = {
+        path: node
+        for path, node in nodes.items()
+        if not settings.within(path, command.at)
+    }
+    merged = kept | command.nodes
+    for path, node in nodes.items():
+        if path in kept:
+            continue
+        if isinstance(node, settings.Operator):
+            merged[path] = node
+        elif isinstance(node, settings.Key):
+            if path.rpartition("/keys/")[0] in merged:
+                merged[path] = node
+        elif isinstance(node, settings.Shift):
+            _keep_shift_state(merged.get(path), node)
+    return merged
+
+
+def _keep_shift_state(
+    new: settings.AnyNode | None, old: settings.Shift
+) -> None:
+    # A file says what a shift is; `shift start` and `stop` say if it runs.
+    if isinstance(new, settings.Shift):
+        new.state = old.state
+        new.started_ms = old.started_ms
+
+
+def dangling(nodes: settings.Nodes) -> str:
+    """Returns a sentence on the first reference to a missing node, or ""."""
+    fleet = nodes.get("/fleet")
+    regions = fleet.regions if isinstance(fleet, settings.Fleet) else {}
+    for path, node in nodes.items():
+        team = "/".join(path.split("/")[:3])
+        if isinstance(node, settings.Shift):
+            service = f"{team}/services/{node.service}"
+            if service not in nodes:
+                return f"{path}/service: {service} does not exist"
+            for name in (node.source, node.target):
+                if name not in regions:
+                    return f"{path}: region {name!r} does not exist"
+            accepted = regions[node.target].accept_rate
+            if node.cap > accepted:
+                return f"{path}/cap: {node.target} accepts {accepted:g}/s"
+        if isinstance(node, settings.Service):
+            for workspace in node.workspaces:
+                if f"{team}/workspaces/{workspace}" not in nodes:
+                    return f"{path}/workspaces: {workspace!r} does not exist"
+    return ""
+
+
+@change.register
+def _(command: commands.PutNode, state: State) -> commands.Outcome:
+    parent = command.path.rpartition("/keys/")[0]
+    if (
+        isinstance(command.node, settings.Key)
+        and parent not in state.tree.nodes
+    ):
+        return _refuse(errors.Kind.NO_ROUTE, f"{parent} does not exist")
+    if not isinstance(command.node, settings.Key | settings.Operator):
+        return _refuse(errors.Kind.MALFORMED, "only keys and operators")
+    if command.path in state.tree.nodes:
+        return _refuse(errors.Kind.CONFLICT, f"{command.path} exists")
+    state.tree.write([tree.Write(command.path, command.node)])
+    return commands.Outcome()
+
+
+@change.register
+def _(command: commands.Withdraw, state: State) -> commands.Outcome:
+    path = state.find(command)
+    roots = [
+        name
+        for name, node in state.tree.nodes.items()
+        if isinstance(node, settings.Operator) and node.subtree == "/"
+    ]
+    if roots == [path]:
+        detail = "this is the last token that owns everything"
+        return _refuse(errors.Kind.CONFLICT, detail)
+    state.tree.write([tree.Write(path, None)])
+    return commands.Outcome()
+
+
+@change.register
+def _(command: commands.SetShift, state: State) -> commands.Outcome:
+    node = state.tree.nodes.get(command.path)
+    if not isinstance(node, settings.Shift):
+        return _refuse(errors.Kind.NO_ROUTE, f"{command.path} does not exist")
+    if command.state not in ("running", "stopped"):
+        return _refuse(errors.Kind.MALFORMED, "state: running or stopped")
+    if command.state == node.state:
+        return commands.Outcome()
+    copy = msgspec.structs.replace(
+        node, state=command.state, started_ms=state.clock_ms
+    )
+    state.tree.write([tree.Write(command.path, copy)])
+    return commands.Outcome()
--- /dev/null
+++ b/src/pollenseam/timeline.py
@@ -0,0 +1,69 @@
+"""The time line of events over all processes, in causal order."""
+
+import heapq
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from pollenseam import events
+
+
+class Event:
+    """One event line.
+
+    Attributes:
+        logical: Lamport time.
+        ts: Wall-clock time that the process wrote, in seconds.
+        vm: Name of the VM.
+        fields: All pairs of the line.
+        line: The line itself.
+    """
+
+    __slots__ = ("logical", "ts", "vm", "fields", "line")
+
+    def __init__(self, fields: dict[str, str], line: str) -> None:
+        self.logical = int(fields.get("lt", "0"))
+        self.ts = float(fields.get("ts", "0"))
+        self.vm = fields.get("vm", "")
+        self.fields = fields
+        self.line = line
+
+    def key(self) -> tuple[int, float, str]:
+        """Returns the place in the time line."""
+        return (self.logical, self.ts, self.vm)
+
+
+def read(lines: Iterable[str]) -> Iterator[Event]:
+    """Yields the events among lines; other lines are passed over."""
+    for line in lines:
+        fields = events.parse_line(line)
+        if not fields:
+            continue
+        try:
+            yield Event(fields, line.strip())
+        except ValueError:
+            continue
+
+
+def merge(sources: Iterable[Iterable[str]]) -> Iterator[Event]:
+    """Yields the events of several processes, causes before effects.
+
+    Every message between processes carries a logical time, so an event that
+    led to another one always has the smaller logical time, whatever the
+    processes' clocks say.
+    """
+    ordered = [sorted(read(lines), key=Event.key) for lines in sources]
+    return heapq.merge(*ordered, key=Event.key)
+
+
+def matches(event: Event, filters: dict[str, str]) -> bool:
+    """Tells whether an event has all given values.
+
+    A filter `any` matches a value in any field.
+    """
+    for name, value in filters.items():
+        if name == "any":
+            if not any(value in field for field in event.fields.values()):
+                return False
+        elif event.fields.get(name) != value:
+            return False
+    return True
--- /dev/null
+++ b/src/pollenseam/tls.py
@@ -0,0 +1,81 @@
+"""Certificates of a VM: read from files, reloaded without a restart."""
+
+import asyncio
+import pathlib
+import ssl
+
+from pollenseam import flags
+from pollenseam import peers
+
+WATCH_SECONDS = 2.0
+
+
+class Files:
+    """The three PEM files and what was made of them.
+
+    Attributes:
+        certificate: File with the VM's certificate chain.
+        key: File with its private key.
+        authority: File with the authority of all VMs.
+    """
+
+    def __init__(
+        self,
+        certificate: pathlib.Path,
+        key: pathlib.Path,
+        authority: pathlib.Path,
+    ) -> None:
+        self.certificate = certificate
+        self.key = key
+        self.authority = authority
+        self._context: ssl.SSLContext | None = None
+        self._stamp = self._read_stamp()
+
+    def credentials(self) -> peers.Credentials:
+        """Returns the current texts, for calls between VMs."""
+        return peers.Credentials(
+            self.certificate.read_bytes(),
+            self.key.read_bytes(),
+            self.authority.read_bytes(),
+        )
+
+    def server_context(self) -> ssl.SSLContext:
+        """Returns the context of the caller address."""
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.load_cert_chain(self.certificate, self.key)
+        self._context = context
+        return context
+
+    async def watch(self, caller: peers.Peers) -> None:
+        """Reloads changed files until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            stamp = self._read_stamp()
+            if stamp == self._stamp:
+                continue
+            try:
+                if self._context is not None:
+                    self._context.load_cert_chain(self.certificate, self.key)
+                await caller.renew_credentials(self.credentials())
+            except (OSError, ssl.SSLError):
+                # The files are being replaced; the next round sees a pair.
+                continue
+            self._stamp = stamp
+
+    def _read_stamp(self) -> tuple[int, ...]:
+        paths = (self.certificate, self.key, self.authority)
+        try:
+            return tuple(path.stat().st_mtime_ns for path in paths)
+        except OSError:
+            return ()
+
+
+def open_files(settings: flags.Flags) -> Files | None:
+    """Returns the files that the flags name, or None without TLS."""
+    certificate = settings.tls_certificate
+    key = settings.tls_key
+    authority = settings.tls_authority
+    if certificate is None or key is None or authority is None:
+        return None
+    return Files(certificate, key, authority)
--- /dev/null
+++ b/src/pollenseam/vm.py
@@ -0,0 +1,232 @@
+"""What all parts of one daemon share: its view of the fleet."""
+
+import asyncio
+import time
+
+from pollenseam import buckets
+from pollenseam import catalog
+from pollenseam import control
+from pollenseam import events
+from pollenseam import flags
+from pollenseam import freshness
+from pollenseam import leases
+from pollenseam import lifecycles
+from pollenseam import lookups
+from pollenseam import members
+from pollenseam import messages
+from pollenseam import metrics
+from pollenseam import peers
+from pollenseam import tree
+from pollenseam import upstreams
+
+
+def boot_seconds() -> float:
+    """Returns the time since boot, which also counts while suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def loop_deadline(deadline: float) -> float:
+    """Returns a deadline of `boot_seconds` as a time of the event loop."""
+    return asyncio.get_running_loop().time() + deadline - boot_seconds()
+
+
+class Vm:
+    """One daemon's view.
+
+    Attributes:
+        flags: Checked settings of the daemon.
+        log: Event log.
+        peers: Calls to other processes.
+        directory: Membership.
+        tree: Settings in force.
+        catalog: The tree, compiled.
+        blocks: Client blocks, compiled.
+        freshness: Age of the settings.
+        book: Leased shares.
+        pools: Upstreams by service path.
+        metrics: Counts.
+        life: Life cycle of the VM.
+        control: The replica, or None.
+        is_attached: Whether `tree` is the replica's own.
+        changed: Set and replaced whenever the settings moved on.
+        joined: Set once the settings have been fetched for the first time.
+        in_flight: Requests under way.
+        lease_wake: Set to renew leases at once.
+    """
+
+    def __init__(
+        self, settings: flags.Flags, log: events.EventLog, caller: peers.Peers
+    ) -> None:
+        self.flags = settings
+        self.log = log
+        self.peers = caller
+        self.incarnation = time.time_ns() // 1_000_000
+        own = messages.Vm(
+            settings.vm,
+            self.incarnation,
+            0,
+            lifecycles.VmState.STARTING,
+            settings.region,
+            settings.failure_domain,
+            settings.caller_address,
+            settings.peer_address,
+            "",
+            -1,
+            0,
+            0.0,
+        )
+        self.directory = members.Directory(own, self.incarnation)
+        self.tree = tree.Tree()
+        self.catalog = catalog.compile({})
+        self.blocks = lookups.compile_blocks({})
+        self.freshness = freshness.Freshness()
+        self.book = buckets.Book()
+        self.pools: dict[str, upstreams.Pool] = {}
+        self.metrics = metrics.Metrics()
+        self.life = lifecycles.vm()
+        self.control: control.Control | None = None
+        self.is_attached = False
+        self.changed = asyncio.Event()
+        self.joined = asyncio.Event()
+        self.in_flight = 0
+        self.lease_wake = asyncio.Event()
+        self._compiled_index = -1
+        self._pooled_sequence = -1
+
+    @property
+    def holder(self) -> str:
+        """Name under which this start of the VM holds leases."""
+        return f"{self.flags.vm}/{self.incarnation}"
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the VM has begun its planned stop."""
+        return self.life.state in (
+            lifecycles.VmState.LEAVING,
+            lifecycles.VmState.GONE,
+        )
+
+    def now(self) -> float:
+        """Returns the VM's time in seconds; see `boot_seconds`."""
+        return boot_seconds()
+
+    def settings_age_ms(self) -> int:
+        """Returns the age of the settings in ms; -1 when not known."""
+        self._note_own_lead()
+        return self.freshness.age_ms(self.now())
+
+    def is_fresh(self) -> bool:
+        """Whether the settings are young enough for keyed work."""
+        self._note_own_lead()
+        bound = self.catalog.fleet.freshness_ms / 1000
+        return self.freshness.age(self.now()) <= bound
+
+    def _note_own_lead(self) -> None:
+        if self.control is None:
+            return
+        confirmed = self.control.confirmed_at()
+        if confirmed is not None:
+            self.freshness.note(confirmed, 0)
+
+    def note_applied(self) -> None:
+        """Uses the replica's own tree once it is not behind."""
+        if self.control is None:
+            return
+        own = self.control.state.tree
+        if not self.is_attached and own.index >= self.tree.index:
+            self.tree = own
+            self.is_attached = True
+        if self.is_attached:
+            self.note_settings()
+
+    def detach(self) -> None:
+        """Follows other VMs, because the replica no longer hears a leader."""
+        if self.is_attached:
+            self.tree = tree.whole(dict(self.tree.nodes), self.tree.index)
+            self.is_attached = False
+
+    def note_settings(self) -> None:
+        """Compiles the settings if they changed and wakes who waits."""
+        if self._compiled_index != self.tree.changed_index:
+            fleet = self.catalog.fleet
+            self.catalog = catalog.compile(self.tree.nodes)
+            if self.catalog.fleet is not fleet:
+                self.blocks = lookups.fleet_blocks(self.catalog.fleet)
+            self._compiled_index = self.tree.changed_index
+            self.book.keep(self.catalog.resources(), self.now())
+            self.changed.set()
+            self.changed = asyncio.Event()
+            self.log.emit("settings-in-force", index=self.tree.changed_index)
+        if not self.joined.is_set() and self.tree.index > 0:
+            self.joined.set()
+
+    def pool(self, service: str) -> upstreams.Pool:
+        """Returns the upstreams of a service."""
+        pool = self.pools.get(service)
+        if pool is None:
+            pool = self.pools[service] = upstreams.Pool(self.incarnation)
+        return pool
+
+    def refresh_pools(self) -> bool:
+        """Takes news of upstreams over into the pools; False if none."""
+        if self._pooled_sequence == self.directory.sequence:
+            return False
+        self._pooled_sequence = self.directory.sequence
+        grouped: dict[str, list[members.KnownUpstream]] = {}
+        for known in self.directory.upstreams.values():
+            grouped.setdefault(known.record.service, []).append(known)
+        now = self.now()
+        for service in grouped.keys() | self.pools.keys():
+            self.pool(service).refresh(grouped.get(service, ()), now)
+        return True
+
+    def load(self) -> float:
+        """Returns requests in flight over the slots of the own region."""
+        used = 0
+        slots = 0
+        for pool in self.pools.values():
+            some_used, some_slots = pool.room(self.flags.region, self.now())
+            used += some_used
+            slots += some_slots
+        return min(1.0, used / slots) if slots else 0.0
+
+    def fresh_entries(self) -> list[lookups.Entry]:
+        """Returns other VMs that are believed to be fresh and serving."""
+        fleet = self.catalog.fleet
+        others = self.directory.live(self.now())[1:]
+        distances = lookups.region_distances(fleet, self.flags.region)
+        return lookups.rank(others, distances, set(), fleet.freshness_ms // 2)
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the VM's gauges for the metrics page."""
+        traffic = self.peers.traffic
+        return {
+            "in_flight": float(self.in_flight),
+            "settings_age_ms": float(self.settings_age_ms()),
+            "settings_index": float(self.tree.index),
+            "known_vms": float(len(self.directory.vms) + 1),
+            "known_upstreams": float(len(self.directory.upstreams)),
+            "peer_sent_bytes": float(traffic.sent_bytes),
+            "peer_received_bytes": float(traffic.received_bytes),
+            "peer_calls": float(traffic.calls),
+            "process_cpu_seconds": time.process_time(),
+            "is_leader": float(
+                self.control is not None and self.control.is_leader
+            ),
+            "load": self.load(),
+        }
+
+    def bucket_shares(self) -> dict[str, leases.Whole]:
+        """Returns the leased shares held now, by resource."""
+        now = self.now()
+        return {
+            resource: account.bucket.held(now)
+            for resource, account in self.book.accounts.items()
+        }
+
+
+def open_vm(
+    settings: flags.Flags, log: events.EventLog, caller: peers.Peers
+) -> Vm:
+    """Returns the view of a daemon that is starting."""
+    return Vm(settings, log, caller)
