The demo: every promise on six daemons, one line each with its figure

Also hypothesis state machines for the quorum log and the leased shares. Cause of the first red run: replicas seeded alike stood for election at the same instant for ever; the seed now includes the replica id.

--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,464 @@
+"""Shows every promise on a fleet of real daemons, with the figure seen.
+
+Starts six daemons in three regions and twelve stand-in upstreams on
+loopback, applies examples/teranga.toml, and exits 0 only if all hold.
+"""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from pollenseam.standins import caller
+from pollenseam.standins import fleet
+
+REGIONS = {
+    "dakar": ["dakar-1", "dakar-2"],
+    "thies": ["thies-1", "thies-2"],
+    "saint-louis": ["saint-louis-1", "saint-louis-2"],
+}
+HOST = "counter.teranga.example"
+SERVICE = "/teams/teranga/services/counter"
+WORKSPACES = "/teams/teranga/workspaces/"
+SHIFT = "/teams/teranga/shifts/dakar-to-thies"
+SETTINGS = pathlib.Path(__file__).with_name("teranga.toml")
+TEAM_SETTINGS = """
+[services.counter]
+[[services.counter.routes]]
+host = "counter.teranga.example"
+[workspaces.plateau]
+rate = {rate}
+burst = 60
+"""
+WITHDRAWAL_SECONDS = 2.0
+FAILOVER_SECONDS = 3.0
+IN_FORCE_SECONDS = 12.0
+LEAVING_SECONDS = 3.0
+TOUBA_RATE = 40
+TOUBA_BURST = 20
+SHIFT_CAP = 40
+
+
+class Demo:
+    """One run of the demo.
+
+    Attributes:
+        fleet: The processes.
+        failures: Promises that did not hold.
+    """
+
+    def __init__(self, running: fleet.Fleet) -> None:
+        self.fleet = running
+        self.failures: list[str] = []
+        self.keys: dict[str, str] = {}
+        self.session: aiohttp.ClientSession | None = None
+
+    def say(self, promise: str, holds: bool, figure: str) -> None:
+        """Prints one promise with its figure."""
+        mark = "ok  " if holds else "FAIL"
+        print(f"{mark} {promise}: {figure}", flush=True)
+        if not holds:
+            self.failures.append(promise)
+
+    def key(self, workspace: str) -> str:
+        """Returns a workspace's key, issuing it the first time."""
+        if workspace not in self.keys:
+            answer = self.fleet.tool_json(
+                "key", "issue", WORKSPACES + workspace
+            )
+            self.keys[workspace] = str(answer["secret"])
+        return self.keys[workspace]
+
+    def address(self, name: str) -> str:
+        """Returns the caller address of a VM."""
+        return self.fleet.places[name].caller
+
+    async def send(
+        self,
+        vm: str,
+        path: str = "/cards/1",
+        key: str = "",
+        method: str = "GET",
+        **headers: str,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Sends one request to a VM."""
+        assert self.session is not None
+        sent = {
+            "Host": HOST,
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        url = f"http://{self.address(vm)}{path}"
+        async with self.session.request(method, url, headers=sent) as response:
+            body = await response.read()
+            return response.status, dict(response.headers), body
+
+    def chooser(self, seed: int, *vms: str) -> caller.Chooser:
+        """Returns a chooser that begins with the given VMs."""
+        names = vms or tuple(self.fleet.places)
+        return caller.Chooser([self.address(n) for n in names], "counter", seed)
+
+    # Promises.
+
+    def start(self) -> None:
+        """Starts daemons and upstreams and applies the settings."""
+        started = time.monotonic()
+        self.fleet.start_all()
+        seconds = time.monotonic() - started
+        count = len(self.fleet.places)
+        self.say("daemons serve", True, f"{count} VMs in {seconds:.1f} s")
+        started = time.monotonic()
+        answer = self.fleet.tool_json("apply", str(SETTINGS), "--wait")
+        seconds = time.monotonic() - started
+        self.say(
+            "accepted settings are in force everywhere",
+            bool(answer["in_force"]) and seconds < IN_FORCE_SECONDS,
+            f"version {answer['version']} on all VMs in {seconds:.1f} s",
+        )
+        issued = self.fleet.tool_json("key", "issue", SERVICE)
+        for place in self.fleet.places.values():
+            for number in (1, 2):
+                name = f"{place.failure_domain}-u{number}"
+                self.fleet.start_upstream(
+                    name, "counter", place, str(issued["secret"])
+                )
+        fleet.until(lambda: self._serving() == 2 * count)
+
+    def _serving(self) -> int:
+        status = self.fleet.tool_json("status")
+        upstreams = status["upstreams"]
+        assert isinstance(upstreams, dict)
+        return int(upstreams.get(SERVICE, {}).get("serving", 0))
+
+    async def lookup(self) -> None:
+        """A caller asks which entry VMs to use."""
+        assert self.session is not None
+        url = f"http://{self.address('thies-1-1')}/.pollenseam/lookup"
+        async with self.session.get(url, params={"service": "counter"}) as r:
+            body = await r.json()
+            age = r.headers["Cache-Control"]
+        regions = [entry["region"] for entry in body["entries"]]
+        self.say(
+            "a look-up ranks entry VMs by the client's block",
+            regions[:2] == ["dakar", "dakar"] and len(regions) == 6,
+            f"{len(regions)} entries, first in {regions[0]}, {age}",
+        )
+
+    async def requests(self) -> None:
+        """Keyed, refused and open requests, and what upstreams see."""
+        key = self.key("plateau")
+        await self._until_admitted("dakar-1-1", key)
+        status, headers, _ = await self.send("dakar-1-1", key=key)
+        self.say(
+            "a keyed request reaches an upstream with room",
+            status == 200,
+            f"status {status} through {headers.get('Pollenseam-Vm')}",
+        )
+        wrong, headers, _ = await self.send("dakar-1-1", key="ps_0_0")
+        none, _, _ = await self.send("dakar-1-1")
+        self.say(
+            "a request without a good key is refused and not run",
+            wrong == 401
+            and none == 401
+            and headers["Pollenseam-Executed"] == "no",
+            f"status {wrong} and {none}, executed no",
+        )
+        opened, _, _ = await self.send("dakar-1-1", "/values/1")
+        self.say("an open route takes everyone", opened == 200, f"{opened}")
+        await self.send(
+            "dakar-1-1", key=key, Pollenseam_Workspace="forged", X_A=key
+        )
+        seen = 0
+        forged = 0
+        for name in self.fleet.upstreams:
+            text = str(self.fleet.runs(name)["seen"])
+            seen += key in text
+            forged += "forged" in text
+        self.say(
+            "no upstream sees a caller's key",
+            seen == 0 and forged == 0,
+            f"{seen} of {len(self.fleet.upstreams)} upstreams saw it",
+        )
+
+    async def _until_admitted(self, vm: str, key: str) -> None:
+        for _ in range(100):
+            if (await self.send(vm, key=key))[0] == 200:
+                return
+            await asyncio.sleep(0.1)
+
+    async def withdrawn_key(self) -> None:
+        """A withdrawn key stops on connections that are open."""
+        key = self.key("medina")
+        vms = list(self.fleet.places)
+        for vm in vms:
+            await self._until_admitted(vm, key)
+        started = time.monotonic()
+        withdraw = asyncio.to_thread(
+            self.fleet.tool, "key", "withdraw", key.split("_")[1]
+        )
+        done = await withdraw
+        left = dict.fromkeys(vms, 0.0)
+        for vm in vms:
+            while (await self.send(vm, key=key))[0] != 401:
+                await asyncio.sleep(0.02)
+            left[vm] = time.monotonic() - started
+        worst = max(left.values())
+        self.say(
+            "a withdrawn key stops within seconds, on open connections too",
+            done.returncode == 0 and worst < WITHDRAWAL_SECONDS,
+            f"refused on all VMs {worst:.2f} s after the command began",
+        )
+        del self.keys["medina"]
+
+    async def over_rate(self) -> None:
+        """A workspace at several times its rate gets its rate and burst."""
+        key = self.key("touba")
+        other = self.key("rufisque")
+        for vm in ("dakar-1-1", "dakar-2-1"):
+            await self._until_admitted(vm, key)
+            await self._until_admitted(vm, other)
+        seconds = 3.0
+        loud = caller.Plan(HOST, "/cards/1", key, 3 * TOUBA_RATE, seconds)
+        quiet = caller.Plan(HOST, "/cards/2", other, 20, seconds)
+        tallies = await asyncio.gather(
+            caller.run_plan(loud, self.chooser(1), 1),
+            caller.run_plan(quiet, self.chooser(2), 2),
+        )
+        finished = [at for at, o in tallies[0].finished if o == "200"]
+        level = _peak_level(finished, TOUBA_RATE)
+        bound = TOUBA_RATE * max(finished) + TOUBA_BURST
+        self.say(
+            "over all VMs a workspace gets no more than rate and burst",
+            level <= TOUBA_BURST + 1 and len(finished) <= bound,
+            f"{len(finished)} of {tallies[0].total} sent ran, bound "
+            f"{bound:.0f}; fullest burst {level:.1f} of {TOUBA_BURST}",
+        )
+        good = tallies[1].answers["200"]
+        self.say(
+            "one loud workspace costs the others nothing",
+            good == tallies[1].total,
+            f"{good} of {tallies[1].total} of a quiet one ran, p99 "
+            f"{tallies[1].quantile_ms(99):.0f} ms",
+        )
+
+    async def once(self) -> None:
+        """An approval sent twice, to two VMs, runs once."""
+        key = self.key("plateau")
+        headers = {"Idempotency_Key": "refund-1"}
+        await self._until_admitted("thies-1-1", key)
+        answers = await asyncio.gather(
+            *[
+                self.send(vm, "/credits/1", key, "POST", **headers)
+                for vm in ("dakar-1-1", "thies-1-1")
+            ]
+        )
+        replayed = answers[0]
+        for _ in range(50):
+            replayed = await self.send(
+                "saint-louis-1-1", "/credits/1", key, "POST", **headers
+            )
+            if replayed[0] == 200:
+                break
+            await asyncio.sleep(0.1)
+        runs = sum(
+            dict(self.fleet.runs(name)["runs"]).get("refund-1", 0)  # type: ignore[call-overload]
+            for name in self.fleet.upstreams
+        )
+        first = [a for a in answers if a[0] == 200]
+        same = bool(first) and first[0][2] == replayed[2]
+        statuses = ", ".join(str(a[0]) for a in answers)
+        self.say(
+            "an at-most-once request sent to two VMs runs once",
+            runs == 1 and same,
+            f"{runs} run; answers {statuses}; a third VM gave the first answer",
+        )
+
+    async def shift(self) -> None:
+        """Traffic moves between regions under its cap."""
+        key = self.key("plateau")
+        started = await asyncio.to_thread(
+            self.fleet.tool, "shift", "start", SHIFT, "--wait"
+        )
+        before = self._regional_total("thies")
+        plan = caller.Plan(HOST, "/cards/3", key, 120, 6.0)
+        tally = await caller.run_plan(plan, self.chooser(3, "dakar-1-1"), 3)
+        moved = self._regional_total("thies") - before
+        stopped = await asyncio.to_thread(
+            self.fleet.tool, "shift", "stop", SHIFT, "--wait"
+        )
+        good = tally.answers["200"]
+        self.say(
+            "a shift moves traffic, never above its cap",
+            0 < moved <= SHIFT_CAP * 6
+            and good == tally.total
+            and started.returncode == stopped.returncode == 0,
+            f"{moved / 6:.1f}/s moved, cap {SHIFT_CAP}/s; "
+            f"{good} of {tally.total} requests ran",
+        )
+
+    def _regional_total(self, region: str) -> int:
+        return sum(
+            int(str(self.fleet.runs(name)["total"]))
+            for name in self.fleet.upstreams
+            if name.startswith(region)
+        )
+
+    async def leaving_upstream(self) -> None:
+        """An upstream that leaves gets no new work."""
+        key = self.key("plateau")
+        name = "dakar-1-u1"
+        plan = caller.Plan(HOST, "/cards/4", key, 40, 5.0)
+        running = asyncio.create_task(
+            caller.run_plan(plan, self.chooser(4, "dakar-1-1"), 4)
+        )
+        await asyncio.sleep(1.0)
+        self.fleet.upstreams[name].child.terminate()
+        await asyncio.sleep(LEAVING_SECONDS)
+        late = self.fleet.runs(name).get("total", -1)
+        await asyncio.sleep(0.5)
+        later = self.fleet.runs(name).get("total", late)
+        tally = await running
+        self.say(
+            "an upstream that leaves gets no new work, and none is cut off",
+            late == later and tally.answers["200"] == tally.total,
+            f"{tally.answers['200']} of {tally.total} requests ran",
+        )
+
+    async def lost_leader(self) -> None:
+        """The control leader dies; requests go on, changes soon too."""
+        leader = self.fleet.leader()
+        key = self.key("plateau")
+        plan = caller.Plan(HOST, "/cards/5", key, 30, 4.0)
+        others = [n for n in self.fleet.places if n != leader]
+        chooser = self.chooser(5, *others)
+        running = asyncio.create_task(caller.run_plan(plan, chooser, 5))
+        await asyncio.sleep(0.5)
+        started = time.monotonic()
+        self.fleet.daemons[leader].kill()
+        done = await asyncio.to_thread(
+            self.fleet.tool, "operator", "issue", "/teams/teranga"
+        )
+        seconds = time.monotonic() - started
+        tally = await running
+        now = self.fleet.leader()
+        lost = tally.answers["broken"]
+        refused = tally.total - tally.answers["200"] - lost
+        self.say(
+            "control goes on when its leader dies",
+            done.returncode == 0
+            and now != leader
+            and seconds < FAILOVER_SECONDS
+            and refused == 0,
+            f"next change accepted after {seconds:.1f} s by {now}; "
+            f"{refused} of {tally.total} requests refused, {lost} broke "
+            "with the killed VM",
+        )
+        self.fleet.start(leader)
+        self.fleet.wait_serving(leader)
+
+    async def graceful_stop(self) -> None:
+        """A VM stops under load and cuts off no request."""
+        key = self.key("plateau")
+        plan = caller.Plan(HOST, "/cards/6", key, 60, 6.0)
+        running = asyncio.create_task(
+            caller.run_plan(plan, self.chooser(6, "thies-1-1"), 6)
+        )
+        await asyncio.sleep(0.5)
+        started = time.monotonic()
+        code = await asyncio.to_thread(self.fleet.daemons["dakar-2-1"].stop)
+        seconds = time.monotonic() - started
+        tally = await running
+        self.say(
+            "a planned stop cuts off no request",
+            code == 0 and tally.answers["200"] == tally.total,
+            f"exit {code} after {seconds:.1f} s, "
+            f"{tally.answers['200']} of {tally.total} requests ran",
+        )
+
+    def race(self) -> None:
+        """Two operators race with the same version; one resends."""
+        team = "/teams/teranga"
+        version = str(self.fleet.tool_json("get", team)["version"])
+        files = []
+        for number in (1, 2):
+            text = TEAM_SETTINGS.format(rate=200 + number)
+            file = self.fleet.folder / f"team-{number}.toml"
+            file.write_text(text)
+            files.append(str(file))
+        common = ("--at", team, "--expect-version", version, "--change-id")
+        first = self.fleet.tool("apply", files[0], *common, "first")
+        second = self.fleet.tool("apply", files[1], *common, "second")
+        resent = self.fleet.tool("apply", files[0], *common, "first")
+        other = self.fleet.tool("apply", files[1], *common, "first")
+        codes = [d.returncode for d in (first, second, resent, other)]
+        self.say(
+            "equal versions race once; a resend gets the first answer",
+            codes == [0, 3, 0, 3] and first.stdout == resent.stdout,
+            f"exit {codes[0]} and {codes[1]}; resent {codes[2]}, "
+            f"same id with another body {codes[3]}",
+        )
+        token = self.fleet.tool_json("operator", "issue", team)
+        foreign = self.fleet.tool(
+            "apply", str(SETTINGS), token=str(token["secret"])
+        )
+        self.say(
+            "a team changes only its own subtree",
+            foreign.returncode == 4,
+            f"exit {foreign.returncode}: {foreign.stderr.strip()}",
+        )
+
+    async def run(self) -> None:
+        """Shows all promises in turn."""
+        self.start()
+        timeout = aiohttp.ClientTimeout(total=15)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            self.session = session
+            shows: list[Callable[[], object]] = [
+                self.lookup,
+                self.requests,
+                self.withdrawn_key,
+                self.over_rate,
+                self.once,
+                self.shift,
+                self.leaving_upstream,
+                self.lost_leader,
+                self.graceful_stop,
+            ]
+            for show in shows:
+                await show()  # type: ignore[misc]
+        self.race()
+
+
+def _peak_level(times: list[float], rate: float) -> float:
+    """Returns the fullest that a bucket emptied at `rate` ever got."""
+    level = 0.0
+    peak = 0.0
+    last = 0.0
+    for at in sorted(times):
+        level = max(0.0, level - (at - last) * rate) + 1
+        peak = max(peak, level)
+        last = at
+    return peak
+
+
+def main() -> int:
+    """Runs the demo; returns 0 only if every promise held."""
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="pollenseam-") as folder:
+        places = fleet.places(REGIONS, per_domain=1, replicas=3)
+        with fleet.Fleet(pathlib.Path(folder), places) as running:
+            demo = Demo(running)
+            asyncio.run(demo.run())
+    seconds = time.monotonic() - started
+    held = "all promises held" if not demo.failures else "NOT all held"
+    print(f"{held} in {seconds:.0f} s")
+    return 1 if demo.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/pollenseam/catalog.py
+++ b/src/pollenseam/catalog.py
@@ -146,9 +146,11 @@
         for routes in self.routes.values():
             routes.sort(key=lambda route: -len(route.node.prefix))
         for path, shift in shifts:
-            service = f"{team_of(path)}/services/{shift.service}"
-            if service in self.services:
-                self.services[service].shifts.append((path, shift))
+            moved = self.services.get(
+                f"{team_of(path)}/services/{shift.service}"
+            )
+            if moved is not None:
+                moved.shifts.append((path, shift))
         short: dict[str, list[Service]] = {}
         for path, service in self.services.items():
             name = path.rpartition("/")[2]
--- a/src/pollenseam/claiming.py
+++ b/src/pollenseam/claiming.py
@@ -4,6 +4,9 @@
 import contextlib
 import hashlib
 import itertools
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
 
 import aiohttp
 
@@ -20,6 +23,8 @@
 STORE_SECONDS = 60.0
 NOT_STORED = "Pollenseam-Body-Not-Stored"
 
+Result = TypeVar("Result")
+
 
 class Claiming:
     """Runs at-most-once requests of one entry VM.
@@ -38,7 +43,7 @@
         self.vm = own
         self.forwarder = sender
         self.submitter = finder
-        self.running: set[asyncio.Task[object]] = set()
+        self.running: set[asyncio.Task[Any]] = set()
         self._attempts = itertools.count(1)
 
     async def run(
@@ -78,7 +83,9 @@
             max(1, left_ms),
         )
 
-    def _spawn(self, coroutine):  # type: ignore[no-untyped-def]
+    def _spawn(
+        self, coroutine: Coroutine[Any, Any, Result]
+    ) -> "asyncio.Task[Result]":
         task = asyncio.create_task(coroutine)
         self.running.add(task)
         task.add_done_callback(self.running.discard)
--- a/src/pollenseam/control.py
+++ b/src/pollenseam/control.py
@@ -179,6 +179,7 @@
             raise errors.NotLeaderError("this replica does not lead")
         if len(self._pending) + len(self._proposals) > MAX_PENDING_PROPOSALS:
             raise errors.refuse(errors.Kind.NO_ROOM, "too many changes wait")
+        future: asyncio.Future[commands.Outcome]
         future = asyncio.get_running_loop().create_future()
         self._proposals.append(Proposal(command, future, members))
         self._wake.set()
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -5,7 +5,9 @@
 import os
 import signal
 import sys
+from collections.abc import Coroutine
 from collections.abc import Sequence
+from typing import Any
 
 import defopt
 from aiohttp import web
@@ -183,7 +185,7 @@
                 f"{error.strerror}"
             ) from error
 
-    def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._note_end)
         self._tasks.append(task)
--- a/src/pollenseam/lifecycles.py
+++ b/src/pollenseam/lifecycles.py
@@ -34,13 +34,13 @@
 
 RANKS = {state: rank for rank, state in enumerate(UpstreamState)}
 
-VM_TRANSITIONS = [
+VM_TRANSITIONS: list[dict[str, object]] = [
     {"trigger": "serve", "source": "starting", "dest": "serving"},
     {"trigger": "leave", "source": ["starting", "serving"], "dest": "leaving"},
     {"trigger": "finish", "source": "leaving", "dest": "gone"},
 ]
 
-SHIFT_TRANSITIONS = [
+SHIFT_TRANSITIONS: list[dict[str, object]] = [
     {"trigger": "begin", "source": "idle", "dest": "ramping"},
     {"trigger": "fill", "source": "ramping", "dest": "full"},
     {"trigger": "hold", "source": ["ramping", "full"], "dest": "held"},
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
-from typing import TypeVar
 
 import grpc
 import grpc.aio
@@ -32,7 +31,7 @@
     ("grpc.so_reuseport", 0),
 )
 
-Answer = TypeVar("Answer", bound=msgspec.Struct)
+Decode = Callable[[bytes], Any]
 Handler = Callable[[Any], Awaitable[msgspec.Struct]]
 
 
@@ -48,8 +47,8 @@
         answer: type[msgspec.Struct],
     ) -> None:
         self.name = name
-        self.decode_request = msgspec.msgpack.Decoder(request).decode
-        self.decode_answer = msgspec.msgpack.Decoder(answer).decode
+        self.decode_request: Decode = msgspec.msgpack.Decoder(request).decode
+        self.decode_answer: Decode = msgspec.msgpack.Decoder(answer).decode
 
 
 class Done(msgspec.Struct, array_like=True):
--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -254,7 +254,7 @@
         self.pre = False
         self.transferee = ""
         self.transfer_deadline = now
-        self.random = random.Random(seed)
+        self.random = random.Random(f"{id}/{seed}")
         self.election_deadline = now
         self._ready = Ready()
         self._hard_taken = HardState(hard.term, hard.vote)
--- a/src/pollenseam/standins/fleet.py
+++ b/src/pollenseam/standins/fleet.py
@@ -9,6 +9,7 @@
 import sys
 import time
 import urllib.request
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from pollenseam import keys
@@ -268,7 +269,9 @@
     return answer
 
 
-def until(condition, seconds: float = START_SECONDS) -> None:  # type: ignore[no-untyped-def]
+def until(
+    condition: Callable[[], bool], seconds: float = START_SECONDS
+) -> None:
     """Polls until a condition holds.
 
     Raises:
--- a/src/pollenseam/submitter.py
+++ b/src/pollenseam/submitter.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from pollenseam import commands
+from pollenseam import control
 from pollenseam import errors
 from pollenseam import lifecycles
 from pollenseam import messages
@@ -208,7 +209,7 @@
         return answer
 
     async def _answer_own(
-        self, own: "vm.control.Control", request: messages.Submit
+        self, own: control.Control, request: messages.Submit
     ) -> messages.Submitted:
         try:
             command = commands.decode(request.command)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,186 @@
+"""The sum of all shares never exceeds a rate and a burst."""
+
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from pollenseam import buckets
+from pollenseam import leases
+
+RATE = 10.0
+BURST = 5.0
+HOLDERS = ["a", "b", "c", "d"]
+MAX_LAG = 1.0
+
+
+class Holder:
+    """A VM with one bucket, and answers that arrive late or never."""
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.starts = 0
+        self.account = buckets.Account(now)
+        self.outstanding = 0
+
+    @property
+    def id(self) -> str:
+        return f"{self.name}/{self.starts}"
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Holders, a leader that may be deposed without knowing, and time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.lender = leases.Lender(0.0)
+        self.confirmed_at = self.now
+        self.zombies: list[tuple[leases.Lender, float]] = []
+        self.holders = {name: Holder(name, self.now) for name in HOLDERS}
+        self.late: list[tuple[Holder, int, int, leases.Share, float]] = []
+        self.level = 0.0
+        self.used_at = self.now
+        self.admitted = 0
+
+    @stateful.rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 2.0, 9.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(name=st.sampled_from(HOLDERS), count=st.integers(1, 20))
+    def use(self, name, count):
+        account = self.holders[name].account
+        for _ in range(count):
+            account.demand.count += 1
+            if account.bucket.take(self.now):
+                self._admit()
+
+    def _admit(self) -> None:
+        # The fleet as one bucket: any window of t seconds may see at most
+        # BURST + RATE * t requests.
+        elapsed = self.now - self.used_at
+        self.level = max(0.0, self.level - RATE * elapsed) + 1
+        self.used_at = self.now
+        self.admitted += 1
+        assert self.level <= BURST + 1e-6, "more than rate and burst"
+
+    @stateful.rule(
+        name=st.sampled_from(HOLDERS),
+        waiting=st.integers(0, 5),
+        fate=st.sampled_from(["now", "now", "late", "lost", "zombie"]),
+    )
+    def renew(self, name, waiting, fate):
+        holder = self.holders[name]
+        lender, confirmed_at = self.lender, self.now
+        if fate == "zombie":
+            if not self.zombies:
+                return
+            lender, confirmed_at = self.zombies[-1]
+        ttl = leases.LEASE_SECONDS - (self.now - confirmed_at)
+        if ttl <= 0:
+            return
+        holder.account.waiting = waiting
+        book = buckets.Book()
+        book.accounts["r"] = holder.account
+        holder.outstanding += 1
+        request = book.requests(self.now)["r"]
+        whole = leases.Whole(RATE, BURST)
+        share = lender.lend("r", holder.id, request, whole, self.now)
+        assert self.total(lender) <= RATE + 1e-6
+        if fate == "late":
+            sent = (holder, holder.outstanding, holder.starts, share)
+            self.late.append((*sent, self.now + ttl))
+        elif fate != "lost":
+            holder.account.bucket.renew(share, self.now + ttl, self.now)
+
+    def total(self, lender) -> float:
+        if self.now < lender.learning_deadline:
+            return 0.0
+        return lender.total("r", self.now).rate
+
+    @stateful.rule(place=st.integers(0, 10))
+    def answer_late(self, place):
+        if not self.late:
+            return
+        one = self.late.pop(place % len(self.late))
+        holder, number, starts, share, deadline = one
+        # A holder drops answers to requests that it has given up.
+        if number == holder.outstanding and starts == holder.starts:
+            holder.account.bucket.renew(share, deadline, self.now)
+
+    @stateful.rule(name=st.sampled_from(HOLDERS))
+    def restart_holder(self, name):
+        holder = self.holders[name]
+        holder.starts += 1
+        holder.account = buckets.Account(self.now)
+
+    @stateful.rule(name=st.sampled_from(HOLDERS))
+    def give_back(self, name):
+        holder = self.holders[name]
+        holder.account = buckets.Account(self.now)
+        self.lender.give_back(holder.id, self.now)
+
+    @stateful.rule(lag=st.floats(0, MAX_LAG))
+    def fail_over(self, lag):
+        self.zombies.append((self.lender, self.now - lag))
+        ended = self.now + leases.LEASE_SECONDS + leases.DRIFT_SECONDS
+        self.lender = leases.Lender(ended)
+
+
+TestFleet = Fleet.TestCase
+
+
+def renew(lender, account, name, now, waiting=0):
+    book = buckets.Book()
+    book.accounts["r"] = account
+    account.waiting = waiting
+    request = book.requests(now)["r"]
+    whole = leases.Whole(RATE, BURST)
+    share = lender.lend("r", name, request, whole, now)
+    account.bucket.renew(share, now + leases.LEASE_SECONDS, now)
+    return share
+
+
+def test_a_bucket_starts_empty_after_a_restart():
+    bucket = buckets.Bucket(0.0)
+    bucket.renew(leases.Share(RATE, BURST), 8.0, 0.0)
+    assert not bucket.take(0.0)
+    assert bucket.take(0.1)
+
+
+def test_shares_follow_demand():
+    lender = leases.Lender(0.0)
+    busy, idle = buckets.Account(0.0), buckets.Account(0.0)
+    for step in range(1, 20):
+        now = step * 0.5
+        busy.demand.count += 4
+        renew(lender, busy, "busy", now)
+        renew(lender, idle, "idle", now)
+    assert busy.bucket.lease.rate >= 0.8 * RATE
+    assert idle.bucket.lease.rate < 0.2 * RATE
+
+
+def test_a_burst_at_one_vm_gets_what_the_pool_holds_in_one_renewal():
+    lender = leases.Lender(0.0)
+    first, second = buckets.Account(0.0), buckets.Account(0.0)
+    for step in range(1, 20):
+        renew(lender, first, "first", step * 0.5)
+        renew(lender, second, "second", step * 0.5)
+    first.demand.count += 4
+    share = renew(lender, first, "first", 10.0, waiting=4)
+    assert share.tokens + first.bucket.tokens >= 3
+
+
+def test_nothing_is_lent_before_an_earlier_lender_has_surely_ended():
+    lender = leases.Lender(learning_deadline=10.0)
+    account = buckets.Account(0.0)
+    assert renew(lender, account, "new", 9.9).rate == 0.0
+    assert renew(lender, account, "new", 10.1).rate > 0.0
+
+
+@pytest.mark.parametrize("demands", [[1.0, 2.0], [30.0, 1.0], [0.0, 0.0]])
+def test_division_is_max_min_fair_and_never_above_the_whole(demands):
+    names = {str(i): demand for i, demand in enumerate(demands)}
+    shares = leases.divide(names, RATE)
+    assert sum(shares.values()) <= RATE + 1e-9
+    for name, demand in names.items():
+        assert shares[name] >= min(demand, RATE / len(names)) - 1e-9
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,249 @@
+"""The quorum log under loss, reorder, cuts, pauses, crashes and repairs."""
+
+import fakes
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from pollenseam import messages
+from pollenseam import replica
+
+IDS = ["a", "b", "c"]
+NODES = st.sampled_from(IDS)
+
+
+class Quorum(stateful.RuleBasedStateMachine):
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = fakes.Cluster(IDS)
+
+    @stateful.rule(seconds=st.sampled_from([0.01, 0.1, 0.6, 2.5]))
+    def pass_time(self, seconds):
+        self.cluster.now += seconds
+        for id in IDS:
+            self.cluster.tick(id)
+
+    @stateful.rule(rounds=st.integers(1, 4))
+    def run_in_order(self, rounds):
+        for _ in range(rounds):
+            for id in IDS:
+                self.cluster.work(id)
+            for _ in range(len(self.cluster.wire)):
+                self.cluster.deliver(0)
+
+    @stateful.rule(id=NODES)
+    def work(self, id):
+        self.cluster.work(id)
+
+    @stateful.rule(place=st.integers(0, 50), again=st.booleans())
+    def deliver_out_of_order(self, place, again):
+        self.cluster.deliver(place, again)
+
+    @stateful.rule()
+    def lose_everything_under_way(self):
+        self.cluster.wire.clear()
+
+    @stateful.rule(id=NODES)
+    def propose(self, id):
+        self.cluster.propose(id)
+
+    @stateful.rule(a=NODES, b=NODES)
+    def cut_one_way(self, a, b):
+        self.cluster.cuts.add((a, b))
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.cuts.clear()
+
+    @stateful.rule(id=NODES, point=st.sampled_from(["before", "after"]))
+    def crash_at_a_write(self, id, point):
+        self.cluster.work(id, crash=f"{point}-sync")
+
+    @stateful.rule(id=NODES)
+    def restart(self, id):
+        self.cluster.restart(id)
+
+    @stateful.rule(id=NODES, paused=st.booleans())
+    def pause(self, id, paused):
+        self.cluster.nodes[id].is_paused = paused
+
+    @stateful.rule(id=NODES)
+    def compact(self, id):
+        self.cluster.compact(id)
+
+    @stateful.rule(id=NODES)
+    def hand_over(self, id):
+        node = self.cluster.nodes[id]
+        if node.core is not None and not node.is_paused:
+            node.core.transfer(self.cluster.now)
+
+    def teardown(self):
+        self.cluster.settle()
+        leader = self.cluster.leader()
+        assert leader is not None, "no leader after everything healed"
+        self.cluster.propose(leader.id)
+        self.cluster.settle(2.0)
+        applied = {n.core.applied for n in self.cluster.nodes.values()}
+        assert applied == {max(self.cluster.truth)}
+
+
+TestQuorum = Quorum.TestCase
+
+
+def elect(ids=IDS) -> fakes.Cluster:
+    cluster = fakes.Cluster(list(ids))
+    cluster.settle(5.0)
+    assert cluster.leader() is not None
+    return cluster
+
+
+def commit(cluster: fakes.Cluster, count: int = 1) -> None:
+    leader = cluster.leader()
+    assert leader is not None
+    for _ in range(count):
+        cluster.propose(leader.id)
+    cluster.settle(1.0)
+
+
+def change(cluster: fakes.Cluster, members: messages.Members) -> None:
+    leader = cluster.leader()
+    assert leader is not None and leader.core is not None
+    assert leader.core.change_members(members, cluster.now) is not None
+    leader.core.flush(cluster.now)
+    cluster.settle(2.0)
+
+
+def test_an_isolated_leader_steps_down_and_confirms_nothing():
+    cluster = elect()
+    old = cluster.leader()
+    others = [id for id in IDS if id != old.id]
+    cut_off_at = cluster.now
+    cluster.cuts |= {(old.id, id) for id in others}
+    cluster.cuts |= {(id, old.id) for id in others}
+    for _ in range(100):
+        cluster.now += 0.05
+        for id in IDS:
+            cluster.tick(id)
+            cluster.work(id)
+        for _ in range(len(cluster.wire)):
+            cluster.deliver(0)
+        if old.core.role == replica.LEADER:
+            assert old.core.confirmed_at(cluster.now) <= cut_off_at
+    assert old.core.role != replica.LEADER
+    assert cluster.leader().id in others
+
+
+def test_a_cut_off_replica_does_not_disturb_the_leader_when_it_returns():
+    cluster = elect()
+    leader = cluster.leader()
+    term = leader.core.hard.term
+    lonely = next(id for id in IDS if id != leader.id)
+    cluster.nodes[lonely].is_paused = True
+    for _ in range(200):
+        cluster.now += 0.05
+        for id in IDS:
+            cluster.tick(id)
+            cluster.work(id)
+        for _ in range(len(cluster.wire)):
+            cluster.deliver(0)
+    cluster.settle(5.0)
+    assert cluster.leader().id == leader.id
+    assert leader.core.hard.term == term
+
+
+def test_a_replica_far_behind_is_brought_up_by_snapshot():
+    cluster = elect()
+    leader = cluster.leader()
+    late = next(id for id in IDS if id != leader.id)
+    cluster.crash(late)
+    for _ in range(5):
+        cluster.propose(leader.id)
+        for _ in range(10):
+            cluster.now += 0.05
+            for id in IDS:
+                cluster.tick(id)
+                cluster.work(id)
+            for _ in range(len(cluster.wire)):
+                cluster.deliver(0)
+    cluster.compact(leader.id)
+    assert leader.core.log.base_index > 1
+    cluster.settle(5.0)
+    assert cluster.nodes[late].core.applied == leader.core.applied
+
+
+def test_a_second_loss_just_after_a_repair_loses_nothing():
+    cluster = elect()
+    commit(cluster, 5)
+    known = dict(cluster.truth)
+    leader = cluster.leader()
+    lost = next(id for id in IDS if id != leader.id)
+    # The disk of one replica is lost: it comes back under a new id.
+    del cluster.nodes[lost]
+    rest = {id: f"at-{id}" for id in IDS if id != lost}
+    fresh = fakes.Node("fresh", messages.Members({}))
+    cluster.nodes["fresh"] = fresh
+    fresh.start(cluster.now)
+    change(cluster, messages.Members(rest))
+    change(cluster, messages.Members(rest, {"fresh": "at-fresh"}))
+    assert fresh.core.synced_index == cluster.leader().core.log.last_index
+    change(cluster, messages.Members({**rest, "fresh": "at-fresh"}))
+    # Now the leader is lost for good.
+    del cluster.nodes[cluster.leader().id]
+    cluster.settle(10.0)
+    commit(cluster)
+    assert cluster.leader() is not None
+    for index, entry in known.items():
+        assert cluster.truth[index] == entry
+
+
+def test_a_wiped_replica_never_votes_under_its_old_id():
+    cluster = elect()
+    commit(cluster, 3)
+    wiped = fakes.Node("c2", messages.Members({}))
+    cluster.nodes["c2"] = wiped
+    wiped.start(cluster.now)
+    for _ in range(100):
+        cluster.now += 0.1
+        wiped.core.tick(cluster.now)
+    assert not wiped.core.is_voter
+    assert not wiped.core.take().messages
+
+
+def test_only_one_replica_changes_at_a_time():
+    cluster = elect()
+    leader = cluster.leader()
+    voters = {id: f"at-{id}" for id in IDS}
+    two = messages.Members({**voters, "d": "at-d", "e": "at-e"})
+    assert leader.core.change_members(two, cluster.now) is None
+    one = messages.Members(voters, {"d": "at-d"})
+    assert leader.core.change_members(one, cluster.now) is not None
+    assert leader.core.change_members(one, cluster.now) is None
+
+
+def test_a_handed_over_leadership_changes_hands_at_once():
+    cluster = elect()
+    old = cluster.leader()
+    commit(cluster)
+    assert old.core.transfer(cluster.now)
+    assert old.core.propose(b"late", cluster.now) is None
+    cluster.settle(0.5)
+    assert cluster.leader().id != old.id
+
+
+def test_committed_entries_are_never_overwritten():
+    cluster = elect()
+    commit(cluster, 3)
+    leader = cluster.leader()
+    follower = next(n for n in cluster.nodes.values() if n.id != leader.id)
+    forged = messages.Append(
+        leader.core.hard.term + 1,
+        "x",
+        0,
+        0,
+        0,
+        cluster.now,
+        [messages.Entry(1, leader.core.hard.term + 1)],
+    )
+    with pytest.raises(AssertionError):
+        follower.core.receive(forged, cluster.now)
