Retries leave upstreams that failed a request; sheds wait their turn

Cause: a third try went back to an upstream that had failed the request; callers with tiny deadlines could get a healthy upstream ejected, and the only upstream could be ejected at all. Change: a retry takes only an upstream that has not failed the request; a shed answer goes back to the queue until the queue's time limit; a timeout blames the upstream only after 0.8 of the route's own time; the last upstream of a service is never ejected.

--- a/src/pollenseam/admission.py
+++ b/src/pollenseam/admission.py
@@ -95,25 +95,23 @@
         workspace: str,
         weight: float,
         deadline: float,
-        tried: set[str],
     ) -> upstreams.Upstream:
         """Returns an upstream of the own region with a slot taken on it.
 
         Raises:
-            RefusedError: None had room before the queue's time limit.
+            RefusedError: None had room before `deadline`.
         """
         own = self.vm
         queue = self.queues.get(service.path)
         if queue is None:
             queue = self.queues[service.path] = queues.FairQueue()
         if queue.count == 0:
-            upstream = self.choose(service.path, own.flags.region, tried)
+            upstream = self.choose(service.path, own.flags.region, set())
             if upstream is not None:
                 queue.charge(workspace, weight)
                 return upstream
-        limit = min(deadline, own.now() + service.queue_ms / 1000)
         future = asyncio.get_running_loop().create_future()
-        waiter = queues.Waiter(workspace, weight, limit, future)
+        waiter = queues.Waiter(workspace, weight, deadline, future)
         if not queue.push(waiter):
             raise errors.refuse(
                 errors.Kind.NO_ROOM, "too many of the workspace's requests wait"
--- a/src/pollenseam/entry.py
+++ b/src/pollenseam/entry.py
@@ -186,10 +186,8 @@
         arrived = own.now()
         exchange = self._admit(request, target, arrived)
         if exchange.workspace:
-            limit = exchange.route.service.queue_ms / 1000
-            deadline = min(exchange.deadline, arrived + limit)
             await self.forwarder.admission.take_token(
-                exchange.workspace, deadline
+                exchange.workspace, exchange.queue_deadline
             )
         await self._read_small_body(exchange)
         key = request.headers.get(headers.IDEMPOTENCY_KEY)
@@ -220,7 +218,10 @@
                 errors.Kind.NO_ROUTE, "no service takes this host and path"
             )
         deadline = now + self._timeout_ms(request, route) / 1000
-        exchange = forwarder.Exchange(request, target, route, deadline)
+        queue_deadline = min(deadline, now + route.service.queue_ms / 1000)
+        exchange = forwarder.Exchange(
+            request, target, route, deadline, queue_deadline
+        )
         if route.node.access == "keyed":
             self._check_key(exchange)
         once = route.node.at_most_once
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -21,6 +21,7 @@
 BUFFER_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
 MAX_TRIES = 3
+TIMEOUT_BLAME_RATIO = 0.8
 CONNECT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 10.0
 IDEMPOTENT_METHODS = frozenset(
@@ -43,7 +44,8 @@
         deadline: Time after which no answer is of use.
         body: The buffered body, or None when it is streamed.
         is_once: Whether it must not be repeated.
-        tried: Upstreams that it has been sent to.
+        queue_deadline: Time until which it may wait for tokens and slots.
+        tried: Upstreams that failed it.
         is_sent: Whether a byte may have reached an upstream.
         body_refusal: Why the streamed body was cut, or None.
     """
@@ -56,6 +58,7 @@
         "weight",
         "key",
         "deadline",
+        "queue_deadline",
         "body",
         "is_once",
         "tried",
@@ -69,6 +72,7 @@
         target: str,
         route: catalog.Route,
         deadline: float,
+        queue_deadline: float,
     ) -> None:
         self.request = request
         self.target = target
@@ -77,6 +81,7 @@
         self.weight = 1.0
         self.key: str | None = None
         self.deadline = deadline
+        self.queue_deadline = queue_deadline
         self.body: bytes | None = None
         self.is_once = False
         self.tried: set[str] = set()
@@ -90,6 +95,10 @@
         return idempotent and not self.is_once and self.body is not None
 
 
+class _ShedError(Exception):
+    """The upstream declared that it did not run the request."""
+
+
 class Lane:
     """An upstream with a slot taken on it for one try."""
 
@@ -146,19 +155,24 @@
         budget = self.budgets.setdefault(service.path, upstreams.RetryBudget())
         budget.earn(service.retry_ratio)
         last: errors.Refusal | None = None
-        for count in range(MAX_TRIES):
-            if count > 0 and not budget.spend():
-                break
+        while True:
             lane = await self._take_lane(exchange, last)
             try:
                 return await self._try(exchange, lane)
+            except _ShedError:
+                continue
             except errors.RefusedError as error:
                 last = error.refusal
-                if exchange.is_sent and not exchange.may_repeat:
-                    break
+                if not self._may_retry(exchange, budget):
+                    raise
                 self.vm.metrics.retries += 1
-        assert last is not None
-        raise errors.RefusedError(last)
+
+    def _may_retry(
+        self, exchange: Exchange, budget: upstreams.RetryBudget
+    ) -> bool:
+        if exchange.is_sent and not exchange.may_repeat:
+            return False
+        return len(exchange.tried) < MAX_TRIES and budget.spend()
 
     async def _take_lane(
         self, exchange: Exchange, last: errors.Refusal | None
@@ -167,21 +181,27 @@
         moved = self._move(service, exchange)
         if moved is not None:
             return Lane(service.path, moved, self.vm.now())
-        try:
-            upstream = await self.admission.take_slot(
-                service,
-                exchange.workspace,
-                exchange.weight,
-                exchange.deadline,
-                exchange.tried,
-            )
-        except errors.RefusedError:
-            if last is not None and exchange.is_sent:
-                # What happened before says more than that no room is left.
-                raise errors.RefusedError(last) from None
-            raise
+        if last is not None:
+            return self._take_other_lane(exchange, last)
+        upstream = await self.admission.take_slot(
+            service,
+            exchange.workspace,
+            exchange.weight,
+            exchange.queue_deadline,
+        )
         return Lane(service.path, upstream, self.vm.now())
 
+    def _take_other_lane(
+        self, exchange: Exchange, last: errors.Refusal
+    ) -> Lane:
+        """Takes a slot on an upstream that has not failed this request."""
+        service = exchange.route.service.path
+        region = self.vm.flags.region
+        upstream = self.admission.choose(service, region, exchange.tried)
+        if upstream is None:
+            raise errors.RefusedError(last)
+        return Lane(service, upstream, self.vm.now())
+
     def _move(
         self, service: catalog.Service, exchange: Exchange
     ) -> upstreams.Upstream | None:
@@ -219,7 +239,7 @@
         return heard and own.pool(service.path).has_usable(region, now)
 
     async def _try(self, exchange: Exchange, lane: Lane) -> Answer:
-        exchange.tried.add(lane.upstream.record.name)
+        was_sent = exchange.is_sent
         try:
             response = await self._request(exchange, lane)
         except BaseException:
@@ -228,11 +248,9 @@
         shed = exchange.route.service.shed
         if response.status == shed.status and shed.header in response.headers:
             response.close()
+            exchange.is_sent = was_sent
             self._note_shed(lane)
-            exchange.is_sent = False
-            raise errors.refuse(
-                errors.Kind.NO_ROOM, "the upstream is full", executed="no"
-            )
+            raise _ShedError
         return Answer(response, lane)
 
     def _note_shed(self, lane: Lane) -> None:
@@ -245,6 +263,7 @@
     ) -> aiohttp.ClientResponse:
         pool = self.vm.pool(lane.service)
         was_sent = exchange.is_sent
+        name = lane.upstream.record.name
         # From here on a byte may be under way, unless connecting fails.
         exchange.is_sent = True
         try:
@@ -256,10 +275,10 @@
         ) as error:
             exchange.is_sent = was_sent
             pool.fail(lane.upstream, 0.0, self.vm.now())
+            exchange.tried.add(name)
             raise _failed(exchange, "cannot be connected to") from error
         except TimeoutError as error:
-            seconds = self.vm.now() - lane.started
-            pool.fail(lane.upstream, seconds, self.vm.now())
+            self._note_timeout(exchange, lane)
             raise errors.refuse(
                 errors.Kind.DEADLINE, "the upstream did not answer in time"
             ) from error
@@ -267,8 +286,19 @@
             if exchange.body_refusal is not None:
                 raise errors.RefusedError(exchange.body_refusal) from error
             pool.fail(lane.upstream, 0.0, self.vm.now())
+            exchange.tried.add(name)
             raise _failed(exchange, "broke the connection") from error
 
+    def _note_timeout(self, exchange: Exchange, lane: Lane) -> None:
+        # A caller may allow less time than the route does; that alone says
+        # nothing against the upstream.
+        seconds = self.vm.now() - lane.started
+        allowed = exchange.route.timeout_ms / 1000
+        if seconds >= allowed * TIMEOUT_BLAME_RATIO:
+            self.vm.pool(lane.service).fail(
+                lane.upstream, seconds, self.vm.now()
+            )
+
     async def _open(
         self, exchange: Exchange, lane: Lane
     ) -> aiohttp.ClientResponse:
--- a/src/pollenseam/lifecycles.py
+++ b/src/pollenseam/lifecycles.py
@@ -71,12 +71,12 @@
 
     def fire(self, trigger: str) -> bool:
         """Fires a trigger; False when the state does not allow it."""
-        if not self.may_trigger(trigger):
+        if not self.allows(trigger):
             return False
         self.trigger(trigger)  # type: ignore[attr-defined]
         return True
 
-    def may_trigger(self, trigger: str) -> bool:
+    def allows(self, trigger: str) -> bool:
         """Tells whether the state allows a trigger."""
         return trigger in self.machine.get_triggers(self.state)
 
--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -310,11 +310,15 @@
         """Sends heartbeats, checks the quorum or starts an election."""
         if self.role == LEADER:
             self._tick_leader(now)
-        elif now >= self.election_deadline:
+        elif now >= self.election_deadline or self._is_alone():
             self._reset_election(now)
             if self.is_voter:
                 self._campaign(now, pre=True)
 
+    def _is_alone(self) -> bool:
+        # The only voter has nobody to wait for.
+        return self.members.voters.keys() == {self.id}
+
     def _tick_leader(self, now: float) -> None:
         removed = not self.is_voter and self.commit >= self.members_index
         if removed or now - self.confirmed_at(now) > ELECTION_SECONDS:
--- a/src/pollenseam/upstreams.py
+++ b/src/pollenseam/upstreams.py
@@ -218,8 +218,11 @@
         upstream.allowed = max(1.0, upstream.allowed - 1)
 
     def _may_eject(self, now: float) -> bool:
+        count = len(self.upstreams)
         ejected = sum(u.ejected_until > now for u in self.upstreams.values())
-        return ejected + 1 <= max(1, len(self.upstreams) * MAX_EJECTED_RATIO)
+        # The only upstream is better than none.
+        most = max(count * MAX_EJECTED_RATIO, 1.0) if count > 1 else 0.0
+        return ejected + 1 <= most
 
     def _eject(self, upstream: Upstream, now: float) -> None:
         seconds = EJECT_SECONDS * 2**upstream.ejections
