Repair of a lost replica works on real processes; more failures tested

Cause: a learner did not know where its leader is (its configuration is empty), so its answers were never sent and it stayed at match 0; and a VM whose replica waits to be added used that replica's empty tree for the settings that it fetched, which would have written into the state machine. Change: batches carry the sender's address; a VM uses its replica's tree only while the replica is a member. The replica list is answered by the leader, whichever VM is asked. Also tests on processes for a full disk (file size limit), a frozen VM and leader, a resend after the leader was killed, 300 changes behind, a rolling restart under load.

--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,157 @@
+"""The hop through an entry VM against a bare pass-through, on one core."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+from bench import measure
+from pollenseam.standins import fleet
+
+SETTINGS = """
+[fleet]
+lookup_max_age_ms = 500
+[fleet.regions.r1]
+failure_domains = ["d1"]
+client_blocks = ["127.0.0.0/8"]
+[teams.t.services.svc]
+[[teams.t.services.svc.routes]]
+host = "svc.example"
+[teams.t.workspaces.w]
+rate = 1000000
+burst = 1000000
+"""
+ROUNDS = 5
+SECONDS = 2.0
+CONNECTIONS = 16
+IDLE_CONNECTIONS = 2000
+
+
+def blast(address: str, head: str) -> dict[str, float]:
+    """Runs the load generator as a process of its own."""
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "bench.blaster",
+            address,
+            head,
+            str(CONNECTIONS),
+            str(SECONDS),
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    found: dict[str, float] = json.loads(done.stdout)
+    return found
+
+
+def main() -> None:
+    """Measures throughput, latency, look-ups and memory."""
+    with tempfile.TemporaryDirectory() as folder:
+        places = fleet.places({"r1": ["d1"]}, 1, 1)
+        with fleet.Fleet(pathlib.Path(folder), places) as running:
+            _measure(running)
+
+
+def _measure(running: fleet.Fleet) -> None:
+    name = next(iter(running.places))
+    place = running.places[name]
+    running.start_all()
+    settings = running.folder / "settings.toml"
+    settings.write_text(SETTINGS)
+    running.tool_json("apply", str(settings))
+    issued = running.tool_json("key", "issue", "/teams/t/services/svc")
+    key = running.tool_json("key", "issue", "/teams/t/workspaces/w")
+    pid = running.daemons[name].child.pid
+    idle_mb = measure.rss_mb(pid)
+    process = running.start_upstream(
+        "u1",
+        "svc",
+        place,
+        str(issued["secret"]),
+        *("--slots", "1000", "--work-ms", "0", "--queues"),
+    )
+    time.sleep(2.0)
+    upstream = running.upstream_addresses["u1"]
+    port = fleet.free_port()
+    bare = measure.spawn("bench.passthrough", str(port), upstream)
+    time.sleep(1.0)
+    measure.pin(process.child.pid, 1)
+    measure.pin(pid, 2)
+    measure.pin(bare.pid, 2)
+    head = (
+        "GET /x HTTP/1.1|Host: svc.example|"
+        f"Authorization: Bearer {key['secret']}||"
+    )
+    lookup = "GET /.pollenseam/lookup?service=svc HTTP/1.1|Host: x||"
+    ours, theirs, lookups = [], [], []
+    for _ in range(ROUNDS):
+        theirs.append(blast(f"127.0.0.1:{port}", head))
+        ours.append(blast(place.caller, head))
+        lookups.append(blast(place.caller, lookup))
+    bare.kill()
+    bare.wait()
+    measure.record("hop", _figures(ours, theirs, lookups))
+    _memory(running, pid, place.caller, idle_mb)
+
+
+def _figures(
+    ours: list[dict[str, float]],
+    theirs: list[dict[str, float]],
+    lookups: list[dict[str, float]],
+) -> dict[str, object]:
+    def middle(runs: list[dict[str, float]], name: str) -> float:
+        return measure.median([run[name] for run in runs])
+
+    return {
+        "throughput_ratio": measure.median([
+            a["per_second"] / b["per_second"] for a, b in zip(ours, theirs)
+        ]),
+        "p99_ratio": measure.median([
+            a["p99_ms"] / b["p99_ms"] for a, b in zip(ours, theirs)
+        ]),
+        "entry_per_second": middle(ours, "per_second"),
+        "bare_per_second": middle(theirs, "per_second"),
+        "entry_p99_ms": middle(ours, "p99_ms"),
+        "bare_p99_ms": middle(theirs, "p99_ms"),
+        "lookups_per_second": middle(lookups, "per_second"),
+        "failures": sum(run["failures"] for run in ours + theirs + lookups),
+        "aims": "throughput_ratio 0.9, p99_ratio 1.25, lookups 3780/s",
+    }
+
+
+def _memory(
+    running: fleet.Fleet, pid: int, address: str, idle_mb: float
+) -> None:
+    import socket
+
+    host, _, port = address.rpartition(":")
+    before = measure.rss_mb(pid)
+    sockets = [
+        socket.create_connection((host, int(port)))
+        for _ in range(IDLE_CONNECTIONS)
+    ]
+    for one in sockets:
+        one.sendall(b"GET /.pollenseam/health HTTP/1.1\r\nHost: x\r\n\r\n")
+    for one in sockets:
+        one.recv(65536)
+    after = measure.rss_mb(pid)
+    for one in sockets:
+        one.close()
+    measure.record(
+        "memory",
+        {
+            "idle_mb": idle_mb,
+            "before_connections_mb": before,
+            "with_2000_connections_mb": after,
+            "aim": "idle under 100 MB",
+        },
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/passthrough.py
@@ -0,0 +1,44 @@
+"""The baseline of the hop: a bare pass-through on the same library."""
+
+import asyncio
+import sys
+
+import aiohttp
+import multidict
+from aiohttp import web
+
+DROPPED = ("Host", "Content-Length", "Transfer-Encoding")
+
+
+async def serve(port: int, upstream: str) -> None:
+    """Passes every request to one upstream, as little as that takes."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+    )
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read() if request.can_read_body else None
+        headers = multidict.CIMultiDict(request.headers)
+        async with session.request(
+            request.method,
+            f"http://{upstream}{request.raw_path}",
+            headers=headers,
+            data=body,
+            allow_redirects=False,
+        ) as response:
+            answer = await response.read()
+            passed = multidict.CIMultiDict(response.headers)
+            for name in DROPPED:
+                passed.popall(name, None)
+            return web.Response(
+                status=response.status, headers=passed, body=answer
+            )
+
+    server = web.Server(handle, access_log=None)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(server, "127.0.0.1", port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1]), sys.argv[2]))
--- a/src/pollenseam/claiming.py
+++ b/src/pollenseam/claiming.py
@@ -21,6 +21,7 @@
 MAX_STORED_BYTES = 256 * 1024
 MAX_STORED_HEADERS = 64
 STORE_SECONDS = 60.0
+RELEASE_SECONDS = 10.0
 NOT_STORED = "Pollenseam-Body-Not-Stored"
 
 Result = TypeVar("Result")
@@ -168,7 +169,7 @@
         command = commands.ReleaseClaim(
             claim.workspace, claim.key, claim.attempt
         )
-        deadline = self.vm.now() + STORE_SECONDS
+        deadline = self.vm.now() + RELEASE_SECONDS
         with contextlib.suppress(errors.UnreachableError):
             await self.submitter.submit(command, deadline)
 
--- a/src/pollenseam/cli.py
+++ b/src/pollenseam/cli.py
@@ -425,7 +425,7 @@
 
 
 def replica_list() -> None:
-    """Lists the control replicas; ask a VM with a data folder."""
+    """Lists the control replicas, as the leader sees them."""
     answer = asyncio.run(_client().get("replicas"))
     lines = [f"{r['id']} {r['role']} {r['address']}" for r in answer]
     _print(answer, "\n".join(lines))
--- a/src/pollenseam/control.py
+++ b/src/pollenseam/control.py
@@ -71,7 +71,7 @@
         journal: The data folder.
         lending: Leases that this replica gives out while it leads.
         failed: Why the replica stopped, or "".
-        addresses: Replicas outside of the configuration, by id.
+        addresses: Where replicas said that they are, by id.
         on_applied: Called whenever the state machine moved on.
     """
 
@@ -84,7 +84,9 @@
         log: events.EventLog,
         now: Clock,
         root_digest: str,
+        own_address: str,
     ) -> None:
+        self.own_address = own_address
         self.replica = core
         self.state = machine
         self.journal = folder
@@ -126,6 +128,28 @@
         core = self.replica
         return core.address(core.leader) if core.leader else ""
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this replica is in the configuration that it knows."""
+        members = self.replica.members
+        known = members.voters.keys() | members.learners.keys()
+        return not self.failed and self.replica.id in known
+
+    def replicas(self) -> list[messages.ReplicaRecord]:
+        """Returns all replicas of the configuration as this one sees them."""
+        core = self.replica
+        found = []
+        for role, group in (
+            ("voter", core.members.voters),
+            ("learner", core.members.learners),
+        ):
+            for id, address in sorted(group.items()):
+                progress = core.progress.get(id)
+                match = progress.match if progress is not None else -1
+                name = "leader" if id == core.leader else role
+                found.append(messages.ReplicaRecord(id, address, name, match))
+        return found
+
     def confirmed_at(self) -> float | None:
         """Returns the time as of which the applied state is current.
 
@@ -149,6 +173,7 @@
         """Takes in another replica's messages."""
         if batch.receiver != self.replica.id or self.failed:
             return
+        self.addresses[batch.sender] = batch.address
         self._inbox.extend(batch.messages)
         self._wake.set()
 
@@ -423,7 +448,9 @@
     async def _send_batch(
         self, id: str, address: str, batch: list[messages.AnyMessage]
     ) -> None:
-        message = messages.Batch(self.replica.id, id, 0, batch)
+        message = messages.Batch(
+            self.replica.id, self.own_address, id, 0, batch
+        )
         with contextlib.suppress(errors.UnreachableError):
             await self.peers.call(
                 address, peers.DELIVER, message, DELIVER_TIMEOUT_SECONDS
@@ -433,10 +460,6 @@
         # A candidate or leader may be of a configuration that is not here.
         return self.replica.address(id) or self.addresses.get(id, "")
 
-    def learn_address(self, id: str, address: str) -> None:
-        """Notes where a replica outside of the configuration is."""
-        self.addresses[id] = address
-
     # Snapshots to others.
 
     def _start_snapshot(self, id: str) -> None:
@@ -573,6 +596,7 @@
     log: events.EventLog,
     now: Clock,
     root_digest: str,
+    own_address: str,
     seed: int,
 ) -> Control:
     """Returns the control shell of a data folder that has been read."""
@@ -585,4 +609,6 @@
     core = replica.start(
         identity.replica_id, recovered.hard, recovered.log, members, now(), seed
     )
-    return Control(core, machine, folder, caller, log, now, root_digest)
+    return Control(
+        core, machine, folder, caller, log, now, root_digest, own_address
+    )
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -121,6 +121,7 @@
             self.log,
             self.vm.now,
             root_digest,
+            self.flags.peer_address,
             self.vm.incarnation,
         )
         own.on_applied = self.vm.note_applied
--- a/src/pollenseam/follower.py
+++ b/src/pollenseam/follower.py
@@ -63,12 +63,13 @@
         return control is not None and control.is_leader
 
     def _is_replica(self) -> bool:
-        control = self.vm.control
-        if control is None or control.failed or not self.vm.is_attached:
+        """Tells whether the settings come through the replica's own log."""
+        own = self.vm
+        if own.control is None or not own.is_attached:
             return False
-        core = control.replica
-        known = core.members.voters.keys() | core.members.learners.keys()
-        return core.id in known
+        if not own.control.is_member:
+            own.detach()
+        return own.is_attached
 
     def _choose(self) -> str:
         candidates = self._candidates()
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -142,9 +142,14 @@
 
 
 class Batch(msgspec.Struct, array_like=True):
-    """Replica messages in sending order, with the sender's logical time."""
+    """Replica messages in sending order, with the sender's logical time.
+
+    Attributes:
+        address: Peer address of the sender, which a new learner cannot know.
+    """
 
     sender: str
+    address: str
     receiver: str
     logical: int
     messages: list[AnyMessage]
@@ -330,11 +335,28 @@
     logical: int
 
 
+class ReplicaRecord(msgspec.Struct, array_like=True):
+    """One replica as the leader sees it.
+
+    Attributes:
+        id: Replica id.
+        address: Peer address.
+        role: leader, voter or learner.
+        match: Last index known to be synced there; -1 when not known.
+    """
+
+    id: str
+    address: str
+    role: str
+    match: int
+
+
 class ReadAt(msgspec.Struct, array_like=True):
     """Answers a ReadIndex; `index` is -1 when the receiver cannot tell."""
 
     index: int
     logical: int
+    replicas: list[ReplicaRecord] = []
 
 
 class ReplicaChange(msgspec.Struct, array_like=True):
--- a/src/pollenseam/operators.py
+++ b/src/pollenseam/operators.py
@@ -202,6 +202,12 @@
 
     # Reading.
 
+    async def _read(self) -> messages.ReadAt:
+        try:
+            return await self.submitter.read(self._deadline())
+        except errors.UnreachableError as error:
+            raise errors.refuse(errors.Kind.NO_QUORUM, str(error)) from error
+
     async def _barrier(self) -> None:
         try:
             await self.submitter.read_barrier(self._deadline())
@@ -269,21 +275,8 @@
 
     def _replica_list(self) -> list[ReplicaStatus]:
         control = self.vm.control
-        if control is None:
-            return []
-        core = control.replica
-        found = []
-        groups = (
-            ("voter", core.members.voters),
-            ("learner", core.members.learners),
-        )
-        for role, group in groups:
-            for id, address in sorted(group.items()):
-                progress = core.progress.get(id)
-                match = progress.match if progress is not None else -1
-                name = "leader" if id == core.leader else role
-                found.append(ReplicaStatus(id, address, name, match))
-        return found
+        records = control.replicas() if control is not None else []
+        return [_replica_status(record) for record in records]
 
     def _upstreams(self, now: float) -> dict[str, dict[str, int]]:
         counts: dict[str, dict[str, int]] = {}
@@ -374,11 +367,8 @@
         self, request: web.BaseRequest, digest: str
     ) -> list[ReplicaStatus]:
         self._operator(digest)
-        if not self._replica_list():
-            raise errors.refuse(
-                errors.Kind.NO_ROUTE, "ask a VM that has a data folder"
-            )
-        return self._replica_list()
+        found = await self._read()
+        return [_replica_status(record) for record in found.replicas]
 
     async def _change_replica(
         self, request: web.BaseRequest, digest: str
@@ -404,3 +394,7 @@
         record.load,
         suspect,
     )
+
+
+def _replica_status(record: messages.ReplicaRecord) -> ReplicaStatus:
+    return ReplicaStatus(record.id, record.address, record.role, record.match)
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -11,7 +11,8 @@
 from pollenseam import vm
 
 PERIOD_SECONDS = 0.5
-URGENT_SECONDS = 0.02
+RETRY_SECONDS = 0.1
+URGENT_SECONDS = 0.05
 CALL_TIMEOUT_SECONDS = 1.0
 
 
@@ -32,13 +33,14 @@
         """Renews until cancelled."""
         while True:
             renewed = await self.renew()
+            period = PERIOD_SECONDS if renewed else RETRY_SECONDS
             wake = self.vm.lease_wake
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(PERIOD_SECONDS):
+                async with asyncio.timeout(period):
                     await wake.wait()
             wake.clear()
             # Demands that arrive together go out in one message.
-            await asyncio.sleep(URGENT_SECONDS if renewed else 0.1)
+            await asyncio.sleep(URGENT_SECONDS)
 
     async def renew(self) -> bool:
         """Asks the leader once; False when it did not lend."""
--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -296,7 +296,7 @@
         """Returns the time at which `tick` has something to do."""
         if self.role == LEADER:
             return self.heartbeat_deadline
-        return self.election_deadline
+        return float("-inf") if self._is_alone() else self.election_deadline
 
     # Events.
 
--- a/src/pollenseam/submitter.py
+++ b/src/pollenseam/submitter.py
@@ -121,45 +121,54 @@
         Raises:
             UnreachableError: That is not known by `deadline`.
         """
+        found = await self.read(deadline)
+        await self._wait_index(found.index, deadline)
+
+    async def read(self, deadline: float) -> messages.ReadAt:
+        """Returns what the leader says of now: its index and the replicas.
+
+        Raises:
+            UnreachableError: No leader answered by `deadline`.
+        """
         attempt = 0
         while self.vm.now() < deadline:
-            index = await self._read_index(attempt, deadline)
-            if index >= 0:
-                await self._wait_index(index, deadline)
-                return
+            found = await self._read_once(attempt, deadline)
+            if found.index >= 0:
+                return found
             attempt += 1
             await asyncio.sleep(RETRY_SECONDS)
         raise errors.UnreachableError("no leader confirmed in time")
 
-    async def _read_index(self, attempt: int, deadline: float) -> int:
+    async def _read_once(
+        self, attempt: int, deadline: float
+    ) -> messages.ReadAt:
         own = self.vm.control
         if own is not None and own.is_leader:
-            return await self.confirm_index(deadline)
+            return await self._confirm(deadline)
         address = self._address(attempt)
         if not address:
-            return -1
+            return messages.ReadAt(-1, 0)
         left = min(CALL_TIMEOUT_SECONDS, deadline - self.vm.now())
         try:
-            answer = await self.vm.peers.call(
+            answer: messages.ReadAt = await self.vm.peers.call(
                 address, peers.READ, messages.ReadIndex(0), max(left, 0.01)
             )
         except errors.UnreachableError:
-            self.leader = ""
-            return -1
+            answer = messages.ReadAt(-1, 0)
         if answer.index < 0:
             self.leader = ""
-        return int(answer.index)
+        return answer
 
-    async def confirm_index(self, deadline: float) -> int:
-        """Returns the leader's applied index after a barrier; -1 if none."""
+    async def _confirm(self, deadline: float) -> messages.ReadAt:
         own = self.vm.control
         if own is None or own.failed:
-            return -1
+            return messages.ReadAt(-1, 0)
         try:
             await own.read_barrier(deadline)
         except errors.NotLeaderError:
-            return -1
-        return own.state.tree.changed_index
+            return messages.ReadAt(-1, 0)
+        index = own.state.tree.changed_index
+        return messages.ReadAt(index, 0, own.replicas())
 
     async def _wait_index(self, index: int, deadline: float) -> None:
         while self.vm.tree.index < index:
@@ -225,8 +234,7 @@
 
     async def answer_read(self, request: messages.ReadIndex) -> messages.ReadAt:
         """Answers another VM's read barrier."""
-        deadline = self.vm.now() + CALL_TIMEOUT_SECONDS
-        return messages.ReadAt(await self.confirm_index(deadline), 0)
+        return await self._confirm(self.vm.now() + CALL_TIMEOUT_SECONDS)
 
 
 def not_leader(address: str) -> messages.Submitted:
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -133,7 +133,8 @@
         if self.control is None:
             return
         own = self.control.state.tree
-        if not self.is_attached and own.index >= self.tree.index:
+        ready = self.control.is_member and own.index >= self.tree.index
+        if ready and not self.is_attached:
             self.tree = own
             self.is_attached = True
         if self.is_attached:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,300 @@
+"""Real processes on loopback: kills, freezes, races, restarts, bad disks."""
+
+import asyncio
+import json
+import os
+import resource
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+
+from pollenseam import keys
+from pollenseam.standins import caller
+from pollenseam.standins import fleet
+
+REGIONS = {"r1": ["d1"], "r2": ["d2"], "r3": ["d3"]}
+SETTINGS = """
+[fleet]
+lookup_max_age_ms = 500
+freshness_ms = 3000
+[fleet.regions.r1]
+failure_domains = ["d1"]
+client_blocks = ["127.0.0.0/8"]
+[fleet.regions.r2]
+failure_domains = ["d2"]
+[fleet.regions.r3]
+failure_domains = ["d3"]
+[teams.t.services.svc]
+[[teams.t.services.svc.routes]]
+host = "svc.example"
+[[teams.t.services.svc.routes]]
+host = "svc.example"
+prefix = "/open"
+access = "open"
+[teams.t.workspaces.w]
+rate = 500
+burst = 100
+"""
+TEAM = """
+[services.svc]
+[[services.svc.routes]]
+host = "svc.example"
+[workspaces.w]
+rate = {rate}
+burst = 100
+"""
+
+
+@pytest.fixture
+def running(tmp_path):
+    places = fleet.places(REGIONS, per_domain=1, replicas=3)
+    places.append(fleet.Place("plain", "r1", "d1", is_replica=False))
+    with fleet.Fleet(tmp_path, places) as found:
+        found.start_all()
+        file = tmp_path / "settings.toml"
+        file.write_text(SETTINGS)
+        assert found.tool("apply", str(file), "--wait").returncode == 0
+        yield found
+
+
+def secret(running, path):
+    return str(running.tool_json("key", "issue", path)["secret"])
+
+
+def status(running, vm, key="", path="/x"):
+    """Returns the status of one request; 0 when the connection failed."""
+    url = f"http://{running.places[vm].caller}{path}"
+    headers = {"Host": "svc.example"}
+    if key:
+        headers["Authorization"] = f"Bearer {key}"
+    request = urllib.request.Request(url, headers=headers)
+    try:
+        with urllib.request.urlopen(request, timeout=3) as response:
+            return response.status
+    except urllib.error.HTTPError as error:
+        return error.code
+    except OSError:
+        return 0
+
+
+def team_file(running, rate):
+    file = running.folder / f"team-{rate}.toml"
+    file.write_text(TEAM.format(rate=rate))
+    return str(file)
+
+
+def apply(running, rate, *arguments):
+    file = team_file(running, rate)
+    return running.tool("apply", file, "--at", "/teams/t", *arguments)
+
+
+def rate(running):
+    answer = running.tool_json("get", "/teams/t/workspaces/w")
+    return answer["nodes"]["/teams/t/workspaces/w"]["rate"]
+
+
+def test_a_change_resent_after_the_leader_was_killed_runs_once(running):
+    leader = running.leader()
+    answers = {}
+
+    def send(number):
+        answers[number] = apply(
+            running, 100 + number, "--change-id", f"c{number}"
+        )
+
+    threads = [threading.Thread(target=send, args=(n,)) for n in range(6)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.4)
+    running.daemons[leader].kill()
+    for thread in threads:
+        thread.join()
+    fleet.until(lambda: running.leader() not in ("", leader))
+    done = {n: a for n, a in answers.items() if a.returncode == 0}
+    assert all(a.returncode in (0, 5) for a in answers.values())
+    before = rate(running)
+    for number, answer in done.items():
+        again = apply(running, 100 + number, "--change-id", f"c{number}")
+        assert (again.returncode, again.stdout) == (0, answer.stdout)
+    assert rate(running) == before
+    other = apply(running, 999, "--change-id", "c0")
+    assert other.returncode == (3 if 0 in done else 0)
+
+
+def test_a_frozen_vm_checks_its_age_before_it_serves_again(running):
+    key = secret(running, "/teams/t/workspaces/w")
+    announcing = secret(running, "/teams/t/services/svc")
+    running.start_upstream(
+        "u1", "svc", running.places["plain"], announcing, "--work-ms", "1"
+    )
+    fleet.until(lambda: status(running, "plain", key) == 200)
+    running.daemons["plain"].pause()
+    done = running.tool("key", "withdraw", key)
+    assert done.returncode == 0
+    time.sleep(3.5)
+    running.daemons["plain"].resume()
+    seen = [status(running, "plain", key) for _ in range(30)]
+    assert set(seen) <= {401, 503}, seen
+    fleet.until(lambda: status(running, "plain", key) == 401)
+    fleet.until(lambda: status(running, "plain", path="/open") == 200)
+
+
+def test_a_frozen_leader_is_replaced_and_believes_nothing_after(running):
+    old = running.leader()
+    running.daemons[old].pause()
+    fleet.until(lambda: running.leader() not in ("", old))
+    assert apply(running, 321).returncode == 0
+    running.daemons[old].resume()
+    assert rate(running) == 321
+    fleet.until(
+        lambda: running.health(old).get("settings_index")
+        == running.health("plain").get("settings_index")
+    )
+    assert running.leader() != old
+
+
+def test_a_vm_hundreds_of_changes_behind_catches_up(running):
+    leader = running.leader()
+    late = next(
+        n for n, p in running.places.items() if p.is_replica and n != leader
+    )
+    running.daemons[late].kill()
+    running.daemons["plain"].kill()
+    url = f"http://{running.places[leader].caller}"
+    for number in range(300):
+        body = {
+            "path": "/teams/t/workspaces/w",
+            "id": f"{number:012x}",
+            "digest": keys.digest(str(number)),
+            "change_id": f"k{number}",
+        }
+        request = urllib.request.Request(
+            f"{url}/.pollenseam/control/keys/issue",
+            data=json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {running.token}"},
+        )
+        with urllib.request.urlopen(request, timeout=5) as response:
+            index = json.loads(response.read())["index"]
+    for name in (late, "plain"):
+        running.start(name)
+        running.wait_serving(name)
+        fleet.until(lambda n=name: running.health(n)["settings_index"] >= index)
+        # It never served anything older than what it had before.
+        assert running.health(name)["fresh"]
+
+
+def test_a_lost_disk_comes_back_as_a_new_replica(running):
+    leader = running.leader()
+    lost, other = [
+        n for n, p in running.places.items() if p.is_replica and n != leader
+    ]
+    running.daemons[lost].kill()
+    for path in running.data_folder(lost).iterdir():
+        path.unlink()
+    assert apply(running, 111).returncode == 0
+    running.start(lost)
+    running.wait_serving(lost)
+    replicas = running.tool_json("replica", "list")
+    old = [r["id"] for r in replicas if r["id"].startswith(lost + ".")]
+    assert running.tool("replica", "remove", old[0]).returncode == 0
+    address = running.places[lost].peer
+    assert running.tool("replica", "add", lost, address).returncode == 0
+
+    def voters():
+        found = running.tool_json("replica", "list")
+        return [r["id"] for r in found if r["role"] in ("voter", "leader")]
+
+    fleet.until(lambda: len(voters()) == 3)
+    assert old[0] not in voters()
+    # A second one is lost for good just after the repair.
+    running.daemons[other].kill()
+    assert apply(running, 222).returncode == 0
+    assert rate(running) == 222
+
+
+def test_a_full_disk_stops_the_replica_and_not_the_vm(running):
+    victim = running.leader()
+    size = max(
+        path.stat().st_size for path in running.data_folder(victim).iterdir()
+    )
+    child = running.daemons[victim].child
+    # Writes beyond this size fail from now on, as on a full disk.
+    resource.prlimit(child.pid, resource.RLIMIT_FSIZE, (size, size))
+    done = apply(running, 77)
+    assert done.returncode == 0
+    fleet.until(lambda: running.leader() not in ("", victim))
+    assert rate(running) == 77
+    fleet.until(lambda: running.health(victim).get("fresh") is True)
+    index = running.health(running.leader())["settings_index"]
+    fleet.until(lambda: running.health(victim)["settings_index"] >= index)
+
+
+def test_a_data_folder_that_cannot_be_used_is_refused_at_start(tmp_path):
+    places = fleet.places({"r1": ["d1"]}, per_domain=1, replicas=1)
+    with fleet.Fleet(tmp_path, places) as found:
+        found.data_folder(places[0].name).write_text("not a folder")
+        child = found.start(places[0].name).child
+        assert child.wait(20) == 1
+        text = found.daemons[places[0].name].log.read_text()
+        assert "data folder" in text
+        assert "Traceback" not in text
+
+
+def test_a_rolling_restart_of_all_vms_under_load_fails_nothing(running):
+    key = secret(running, "/teams/t/workspaces/w")
+    announcing = secret(running, "/teams/t/services/svc")
+    for name, place in running.places.items():
+        running.start_upstream(
+            f"u-{name}", "svc", place, announcing, "--work-ms", "5"
+        )
+        fleet.until(lambda n=name: status(running, n, key) == 200)
+    seeds = [p.caller for p in running.places.values()]
+    chooser = caller.Chooser(seeds, "svc", 1)
+    plan = caller.Plan("svc.example", "/x", key, 30, 20)
+    found = []
+    thread = threading.Thread(
+        target=lambda: found.append(
+            asyncio.run(caller.run_plan(plan, chooser, 1))
+        )
+    )
+    thread.start()
+    for name in running.places:
+        assert running.daemons[name].stop() == 0
+        running.start(name)
+        running.wait_serving(name)
+        fleet.until(lambda n=name: status(running, n, key) == 200)
+    thread.join()
+    assert found[0].answers["200"] == found[0].total, found[0].answers
+
+
+def test_a_bad_start_says_why_in_one_line(tmp_path):
+    cases = [
+        ([], 2),
+        (["--vm", "Not A Name"], 2),
+        (["--caller-address", "0.0.0.0:8080"], 2),
+        (["--peer-address", "localhost"], 2),
+        (["--initial-replicas", "v=127.0.0.1:1"], 2),
+        (["--tls-key", "/nowhere"], 2),
+        (["--nonsense", "1"], 2),
+    ]
+    good = {
+        "POLLENSEAM_VM": "v",
+        "POLLENSEAM_REGION": "r",
+        "POLLENSEAM_FAILURE_DOMAIN": "d",
+        "POLLENSEAM_CALLER_ADDRESS": f"127.0.0.1:{fleet.free_port()}",
+    }
+    for arguments, code in cases:
+        done = subprocess.run(
+            [sys.executable, "-m", "pollenseam.daemon", *arguments],
+            capture_output=True,
+            text=True,
+            env={**os.environ, **good},
+            timeout=20,
+        )
+        assert done.returncode == code, done.stderr
+        assert "Traceback" not in done.stderr
