Replication streams: no batch waits for the answer to the one before

Cause: each batch was a call of its own, and the next one waited for its answer: with 35 ms one way a claim took two round trips. Change: one stream per peer. A first try let the library read the queue itself; its reader outlives a broken connection and took the next messages (votes among them) with it, so that two live replicas of three found no leader for over 12 s after a second kill. The stream is now written by our own loop, which ends with the connection; tests/test_peers.py holds it.

--- a/src/pollenseam/control.py
+++ b/src/pollenseam/control.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 
 from pollenseam import commands
@@ -20,7 +21,7 @@
 CHUNK_BYTES = 256 * 1024
 MAX_BATCH_MESSAGES = 64
 MAX_QUEUED_MESSAGES = 1024
-DELIVER_TIMEOUT_SECONDS = 1.0
+RECONNECT_SECONDS = 0.05
 CHUNK_TIMEOUT_SECONDS = 3.0
 MAX_PENDING_PROPOSALS = 10_000
 
@@ -438,22 +439,29 @@
         self, id: str, queue: "asyncio.Queue[messages.AnyMessage]"
     ) -> None:
         while True:
+            address = self._address(id)
+            if not address:
+                await queue.get()
+                continue
+            with contextlib.suppress(errors.UnreachableError):
+                await self.peers.stream(
+                    address, peers.DELIVER, self._batches(id, address, queue)
+                )
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _batches(
+        self,
+        id: str,
+        address: str,
+        queue: "asyncio.Queue[messages.AnyMessage]",
+    ) -> AsyncIterator[messages.Batch]:
+        """Yields queued messages until the replica has another address."""
+        while self._address(id) == address:
             batch = [await queue.get()]
             while len(batch) < MAX_BATCH_MESSAGES and not queue.empty():
                 batch.append(queue.get_nowait())
-            address = self._address(id)
-            if address:
-                await self._send_batch(id, address, batch)
-
-    async def _send_batch(
-        self, id: str, address: str, batch: list[messages.AnyMessage]
-    ) -> None:
-        message = messages.Batch(
-            self.replica.id, self.own_address, id, 0, batch
-        )
-        with contextlib.suppress(errors.UnreachableError):
-            await self.peers.call(
-                address, peers.DELIVER, message, DELIVER_TIMEOUT_SECONDS
+            yield messages.Batch(
+                self.replica.id, self.own_address, id, 0, batch
             )
 
     def _address(self, id: str) -> str:
@@ -505,7 +513,7 @@
                 data[offset : offset + CHUNK_BYTES],
                 self.now(),
             )
-            await self._send_batch(id, self._address(id), [chunk])
+            self._dispatch([replica.Outbound(id, chunk)])
             try:
                 async with asyncio.timeout(CHUNK_TIMEOUT_SECONDS):
                     answer = await answers.get()
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -158,12 +158,11 @@
         server.handle(peers.LEND, self.renewer.answer)
         server.handle(peers.PROBE, self.changes.answer_probe)
         server.handle(peers.CHANGE_REPLICA, self.changes.answer_change)
-        server.handle(peers.DELIVER, self._deliver)
+        server.handle_stream(peers.DELIVER, self._deliver)
 
-    async def _deliver(self, batch: messages.Batch) -> peers.Done:
+    def _deliver(self, batch: messages.Batch) -> None:
         if self.vm.control is not None:
             self.vm.control.deliver(batch)
-        return peers.Done()
 
     async def _listen(self) -> None:
         host, port = flags.split_address(self.flags.caller_address)
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -25,6 +26,12 @@
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.enable_http_proxy", 0),
+    # A cut connection that nothing resets is given up after this time.
+    ("grpc.keepalive_time_ms", 2000),
+    ("grpc.keepalive_timeout_ms", 2000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
     ("grpc.use_local_subchannel_pool", 1),
     # One process may take a port that another is still leaving; sharing it
     # would split the calls between both.
@@ -145,6 +152,48 @@
         self.clock.observe(answer.logical)
         return answer
 
+    async def stream(
+        self, address: str, method: Method, requests: AsyncIterator[Any]
+    ) -> None:
+        """Sends messages in order until they end; none waits for another.
+
+        Raises:
+            UnreachableError: The connection broke; messages may be lost.
+        """
+        stub = self._channel(address).stream_unary(f"/{SERVICE}/{method.name}")
+        call = stub()
+        ended = asyncio.create_task(_wait_end(call))
+        try:
+            await self._write_all(call, ended, requests)
+        except grpc.aio.AioRpcError as error:
+            raise errors.UnreachableError(f"{address}: {error}") from error
+        finally:
+            ended.cancel()
+            call.cancel()
+
+    async def _write_all(
+        self, call: Any, ended: asyncio.Task[None], requests: AsyncIterator[Any]
+    ) -> None:
+        # The library's own reading of an iterator goes on after a broken
+        # connection and takes messages that the next one should carry.
+        while True:
+            coming = asyncio.ensure_future(anext(requests, None))
+            try:
+                await asyncio.wait(
+                    {coming, ended}, return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                if not coming.done():
+                    coming.cancel()
+            request: Any = None if ended.done() else coming.result()
+            if request is None:
+                return
+            request.logical = self.clock.tick()
+            data = messages.encode(request)
+            self.traffic.sent_bytes += len(data)
+            self.traffic.calls += 1
+            await call.write(data)
+
     def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channels.get(address)
         if channel is None:
@@ -177,6 +226,11 @@
                 await channel.close()
 
 
+async def _wait_end(call: Any) -> None:
+    with contextlib.suppress(grpc.aio.AioRpcError):
+        await call
+
+
 class Server:
     """Answers other processes' calls."""
 
@@ -201,6 +255,33 @@
             functools.partial(self._answer, method, handler)
         )
 
+    def handle_stream(
+        self, method: Method, handler: Callable[[Any], None]
+    ) -> None:
+        """Registers the function that takes a stream's messages in."""
+        self._handlers[method.name] = grpc.stream_unary_rpc_method_handler(
+            functools.partial(self._take_all, method, handler)
+        )
+
+    async def _take_all(
+        self,
+        method: Method,
+        handler: Callable[[Any], None],
+        requests: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext,
+    ) -> bytes:
+        async for data in requests:
+            self.traffic.received_bytes += len(data)
+            try:
+                request = method.decode_request(data)
+            except msgspec.DecodeError as error:
+                await context.abort(
+                    grpc.StatusCode.INVALID_ARGUMENT, str(error)
+                )
+            self.clock.observe(request.logical)
+            handler(request)
+        return messages.encode(Done())
+
     async def _answer(
         self,
         method: Method,
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,91 @@
+"""Calls between processes: streams that break, messages that are none."""
+
+import asyncio
+import contextlib
+
+import grpc.aio
+import pytest
+
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import messages
+from pollenseam import peers
+from pollenseam.standins import fleet
+
+
+async def start_server(address, taken):
+    clock = events.LogicalClock()
+    server = peers.Server(clock, peers.Traffic())
+    server.handle_stream(peers.DELIVER, taken.append)
+
+    async def answer(request):
+        return messages.ReadAt(7, 0)
+
+    server.handle(peers.READ, answer)
+    await server.start(address)
+    return server
+
+
+def batch(number):
+    return messages.Batch(str(number), "a", "b", 0, [])
+
+
+async def test_a_broken_stream_takes_no_later_message_with_it():
+    address = f"127.0.0.1:{fleet.free_port()}"
+    taken = []
+    server = await start_server(address, taken)
+    caller = peers.Peers(events.LogicalClock())
+    queue = asyncio.Queue()
+
+    async def queued():
+        while True:
+            yield await queue.get()
+
+    async def keep_sending():
+        while True:
+            with contextlib.suppress(errors.UnreachableError):
+                await caller.stream(address, peers.DELIVER, queued())
+            await asyncio.sleep(0.02)
+
+    task = asyncio.create_task(keep_sending())
+    queue.put_nowait(batch(1))
+    async with asyncio.timeout(10):
+        while len(taken) < 1:
+            await asyncio.sleep(0.01)
+        await server.stop(0)
+        await asyncio.sleep(0.5)
+        server = await start_server(address, taken)
+        await asyncio.sleep(2.0)
+        queue.put_nowait(batch(2))
+        while len(taken) < 2:
+            await asyncio.sleep(0.01)
+    assert taken[-1].sender == "2"
+    task.cancel()
+    await server.stop(0)
+    await caller.close()
+
+
+async def test_bytes_that_are_no_message_are_refused():
+    address = f"127.0.0.1:{fleet.free_port()}"
+    server = await start_server(address, [])
+    async with grpc.aio.insecure_channel(address) as channel:
+        stub = channel.unary_unary(f"/{peers.SERVICE}/Read")
+        for data in (b"", b"\xff" * 40, b"\x91\xc0"):
+            with pytest.raises(grpc.aio.AioRpcError) as raised:
+                await stub(data, timeout=5)
+            assert raised.value.code() == grpc.StatusCode.INVALID_ARGUMENT
+    await server.stop(0)
+
+
+async def test_logical_time_travels_with_every_message():
+    address = f"127.0.0.1:{fleet.free_port()}"
+    server = await start_server(address, [])
+    clock = events.LogicalClock()
+    clock.observe(1000)
+    caller = peers.Peers(clock)
+    answer = await caller.call(address, peers.READ, messages.ReadIndex(0), 5)
+    assert answer.index == 7
+    assert answer.logical > 1000
+    assert clock.time >= answer.logical
+    await caller.close()
+    await server.stop(0)
