--- a/src/pollenseam/settings.py
+++ b/src/pollenseam/settings.py
@@ -77,7 +77,7 @@
     links: list[Link] = []
     freshness_ms: Annotated[int, msgspec.Meta(ge=1000, le=60_000)] = 5000
     lookup_max_age_ms: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 5000
-    claim_retention_ms: Annotated[int, msgspec.Meta(ge=60_000)] = 86_400_000
+    claim_retention_ms: Annotated[int, msgspec.Meta(ge=60_000)] = 3_600_000
     defaults: Defaults = msgspec.field(default_factory=Defaults)
 
 
--- a/src/pollenseam/upstreams.py
+++ b/src/pollenseam/upstreams.py
@@ -63,7 +63,7 @@
         self.deadline = deadline
         self.in_flight = 0
         self.allowed = 1.0
-        self.hint = 0.0
+        self.hint = record.load
         self.hint_at = now
         self.reset(now)
 
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,73 @@
+"""Fair queueing between workspaces."""
+
+import collections
+
+import pytest
+
+from pollenseam import queues
+
+
+def push(queue, workspace, weight=1.0, deadline=100.0):
+    waiter = queues.Waiter(workspace, weight, deadline, None)
+    assert queue.push(waiter)
+    return waiter
+
+
+def served(queue, count, now=0.0):
+    return [queue.pop(now).workspace for _ in range(count)]
+
+
+def test_a_flood_of_one_workspace_does_not_hold_up_another():
+    queue = queues.FairQueue()
+    for _ in range(50):
+        push(queue, "loud")
+    push(queue, "quiet")
+    assert "quiet" in served(queue, 2)
+
+
+def test_service_is_in_proportion_to_weight():
+    queue = queues.FairQueue()
+    for _ in range(60):
+        push(queue, "a", 3.0)
+        push(queue, "b", 1.0)
+    counts = collections.Counter(served(queue, 40))
+    assert counts["a"] == pytest.approx(30, abs=2)
+
+
+def test_a_workspace_that_was_idle_gains_no_credit():
+    queue = queues.FairQueue()
+    for _ in range(20):
+        push(queue, "a")
+    served(queue, 10)
+    for _ in range(20):
+        push(queue, "b")
+    counts = collections.Counter(served(queue, 10))
+    assert counts["b"] <= 6
+
+
+def test_what_was_served_without_waiting_counts():
+    queue = queues.FairQueue()
+    push(queue, "x")
+    for _ in range(10):
+        queue.charge("greedy", 1.0)
+    push(queue, "greedy")
+    push(queue, "modest")
+    assert served(queue, 3) == ["x", "modest", "greedy"]
+
+
+def test_waiters_past_their_deadline_or_given_up_are_passed_over():
+    queue = queues.FairQueue()
+    push(queue, "a", deadline=5.0)
+    queue.give_up(push(queue, "a"))
+    last = push(queue, "a")
+    assert queue.pop(10.0) is last
+    assert queue.pop(10.0) is None
+    assert queue.count == 0
+
+
+def test_a_workspaces_queue_is_bounded():
+    queue = queues.FairQueue()
+    for _ in range(queues.MAX_WAITERS_PER_WORKSPACE):
+        push(queue, "a")
+    assert not queue.push(queues.Waiter("a", 1.0, 9.0, None))
+    push(queue, "b")
