--- a/src/pollenseam/follower.py
+++ b/src/pollenseam/follower.py
@@ -11,7 +11,8 @@
 from pollenseam import tree
 from pollenseam import vm
 
-WAIT_MS = 300
+MAX_WAIT_MS = 1000
+WAIT_RATIO = 0.2
 CALL_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.1
 REPLICA_POLL_SECONDS = 0.3
@@ -108,13 +109,16 @@
     async def _fetch(self, source: str) -> bool:
         own = self.vm
         is_replica = self._is_replica()
-        wait_ms = 0 if is_replica else WAIT_MS
+        wait_ms = 0 if is_replica else self._wait_ms()
         request = messages.Fetch(own.flags.vm, own.tree.index, wait_ms, 0)
         sent_at = own.now()
         age_before = own.freshness.as_of
         try:
             feed = await own.peers.call(
-                source, peers.FETCH, request, CALL_TIMEOUT_SECONDS
+                source,
+                peers.FETCH,
+                request,
+                wait_ms / 1000 + CALL_TIMEOUT_SECONDS,
             )
         except errors.UnreachableError:
             return False
@@ -126,6 +130,11 @@
         # A source that is cut off itself answers, but its age stands still.
         return own.freshness.as_of != age_before
 
+    def _wait_ms(self) -> int:
+        """Returns how long a fetch may wait for news, in milliseconds."""
+        bound_ms = self.vm.catalog.fleet.freshness_ms
+        return min(MAX_WAIT_MS, int(bound_ms * WAIT_RATIO))
+
     async def _wait_applied(self, feed: messages.Feed, sent_at: float) -> None:
         """Counts an age once the own log has been applied that far."""
         own = self.vm
@@ -151,7 +160,7 @@
         own = self.vm
         if own.tree.changed_index <= request.index and request.wait_ms > 0:
             changed = own.changed
-            seconds = min(request.wait_ms, 10 * WAIT_MS) / 1000
+            seconds = min(request.wait_ms, MAX_WAIT_MS) / 1000
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds):
                     await changed.wait()
