A slot freed at a full upstream is noticed sooner

Cause: after a shed answer an upstream was left alone for 50 ms, and waiting requests were looked after every 50 ms only.

--- a/src/pollenseam/admission.py
+++ b/src/pollenseam/admission.py
@@ -10,7 +10,7 @@
 from pollenseam import upstreams
 from pollenseam import vm
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.01
 MIN_POLL_SECONDS = 0.001
 POLL_SECONDS = 0.01
 MAX_TOKEN_WAITERS = 1024
