--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,63 @@
+"""Draws the steering bench's last results for a person to read."""
+
+import json
+import pathlib
+
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot
+
+from bench import measure
+from bench import steering
+
+TARGET = pathlib.Path(__file__).parent.parent / "docs" / "figures"
+COLOURS = {
+    "own": "#1b6e53",
+    "round-robin": "#c98b2b",
+    "least-connections": "#7a6fa8",
+    "limit": "#555555",
+}
+
+
+def read(name: str) -> dict[str, float]:
+    """Returns one result; {} when it was not measured."""
+    path = measure.RESULTS / f"{name}.json"
+    found: dict[str, float] = {}
+    if path.exists():
+        found = json.loads(path.read_text())
+    return found
+
+
+def main() -> None:
+    """Draws p99 and answered share by load and policy."""
+    loads = [f"{ratio:g}" for ratio in steering.LOADS]
+    results = {p: read(f"steering-none-{p}") for p in steering.POLICIES}
+    limit = read("steering-limit")
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(10, 4))
+    width = 0.2
+    for place, (policy, found) in enumerate(results.items()):
+        at = [n + (place - 1) * width for n in range(len(loads))]
+        colour = COLOURS[policy]
+        p99 = [found.get(f"{load}_p99_ms", 0.0) for load in loads]
+        good = [found.get(f"{load}_good_ratio", 0.0) for load in loads]
+        left.bar(at, p99, width, label=policy, color=colour)
+        right.bar(at, good, width, label=policy, color=colour)
+    at = [n + 2 * width for n in range(len(loads))]
+    p99 = [limit.get(f"{load}_p99_ms", 0.0) for load in loads]
+    left.bar(at, p99, width, label="limit", color=COLOURS["limit"])
+    labels = [f"{ratio:.0%}" for ratio in steering.LOADS]
+    for axes, title in ((left, "p99, ms"), (right, "answered")):
+        axes.set_xticks([n + width / 2 for n in range(len(loads))], labels)
+        axes.set_xlabel("load, of capacity")
+        axes.set_title(title)
+        axes.spines[["top", "right"]].set_visible(False)
+    right.set_ylim(0.0, 1.05)
+    left.legend(frameon=False)
+    figure.tight_layout()
+    TARGET.mkdir(parents=True, exist_ok=True)
+    figure.savefig(TARGET / "steering.png", dpi=100)
+
+
+if __name__ == "__main__":
+    main()
