--- a/src/pollenseam/control.py
+++ b/src/pollenseam/control.py
@@ -14,6 +14,7 @@
 from pollenseam import lending
 from pollenseam import messages
 from pollenseam import peers
+from pollenseam import quorumlog
 from pollenseam import replica
 from pollenseam import state
 
@@ -347,7 +348,7 @@
         self._pending.clear()
         self._proposals.clear()
 
-    async def _carry_out(self, ready: replica.Ready) -> None:
+    async def _carry_out(self, ready: quorumlog.Ready) -> None:
         self._dispatch(ready.early)
         if ready.hard_state is not None or ready.entries:
             await asyncio.to_thread(
@@ -418,7 +419,7 @@
 
     # Messages.
 
-    def _dispatch(self, outbound: list[replica.Outbound]) -> None:
+    def _dispatch(self, outbound: list[quorumlog.Outbound]) -> None:
         for one in outbound:
             queue = self._queue(one.receiver)
             if queue.full():
@@ -513,7 +514,7 @@
                 data[offset : offset + CHUNK_BYTES],
                 self.now(),
             )
-            self._dispatch([replica.Outbound(id, chunk)])
+            self._dispatch([quorumlog.Outbound(id, chunk)])
             try:
                 async with asyncio.timeout(CHUNK_TIMEOUT_SECONDS):
                     answer = await answers.get()
@@ -549,7 +550,7 @@
             offset,
             chunk.sent_at,
         )
-        self._dispatch([replica.Outbound(chunk.leader, answer)])
+        self._dispatch([quorumlog.Outbound(chunk.leader, answer)])
 
     def _install(self, chunk: messages.Install, data: bytes) -> None:
         if chunk.index <= self.replica.commit:
--- a/src/pollenseam/journal.py
+++ b/src/pollenseam/journal.py
@@ -13,7 +13,7 @@
 
 from pollenseam import errors
 from pollenseam import messages
-from pollenseam import replica
+from pollenseam import quorumlog
 
 FRAME_BYTES = 8
 MAX_RECORD_BYTES = 64 * 1024 * 1024
@@ -67,8 +67,8 @@
 
     def __init__(
         self,
-        hard: replica.HardState,
-        log: replica.Log,
+        hard: quorumlog.HardState,
+        log: quorumlog.Log,
         head: SnapshotHead | None,
         snapshot: bytes,
     ) -> None:
@@ -104,7 +104,7 @@
         self._file: int | None = None
         self._size = 0
         self._number = 0
-        self._hard = replica.HardState()
+        self._hard = quorumlog.HardState()
 
     def recover(self) -> Recovered:
         """Reads the snapshot and the log.
@@ -113,17 +113,17 @@
             DamagedError: A record before the end is damaged.
         """
         head, snapshot = self.read_snapshot()
-        log = replica.Log(head.index, head.term) if head else replica.Log()
+        log = quorumlog.Log(head.index, head.term) if head else quorumlog.Log()
         numbers = self._segment_numbers()
         for number in numbers:
             last = number == numbers[-1]
             for stored in self._read_segment(number, last):
-                self._hard = replica.HardState(stored.term, stored.vote)
+                self._hard = quorumlog.HardState(stored.term, stored.vote)
                 _replay(log, stored.entries)
         self._number = numbers[-1] if numbers else 0
         if numbers:
             self._open_segment()
-        hard = replica.HardState(self._hard.term, self._hard.vote)
+        hard = quorumlog.HardState(self._hard.term, self._hard.vote)
         return Recovered(hard, log, head, snapshot)
 
     def save_identity(self, identity: Identity) -> None:
@@ -132,7 +132,7 @@
         _replace_file(self.folder / IDENTITY_FILE, [_encode(identity)])
 
     def append(
-        self, hard: replica.HardState | None, entries: list[messages.Entry]
+        self, hard: quorumlog.HardState | None, entries: list[messages.Entry]
     ) -> None:
         """Appends and syncs a hard state and entries in one record."""
         if hard is not None:
@@ -246,7 +246,7 @@
         raise errors.DamagedError(_damage(path, offset)) from error
 
 
-def _replay(log: replica.Log, entries: list[messages.Entry]) -> None:
+def _replay(log: quorumlog.Log, entries: list[messages.Entry]) -> None:
     for entry in entries:
         if entry.index <= log.base_index:
             continue
--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -10,6 +10,7 @@
 import random
 
 from pollenseam import messages
+from pollenseam import quorumlog
 
 HEARTBEAT_SECONDS = 0.1
 ELECTION_SECONDS = 1.0
@@ -23,150 +24,6 @@
 LEADER = "leader"
 
 
-class HardState:
-    """What must be synced before any message that depends on it is sent."""
-
-    __slots__ = ("term", "vote")
-
-    def __init__(self, term: int = 0, vote: str = "") -> None:
-        self.term = term
-        self.vote = vote
-
-    def __eq__(self, other: object) -> bool:
-        if not isinstance(other, HardState):
-            return NotImplemented
-        return (self.term, self.vote) == (other.term, other.vote)
-
-
-class Outbound:
-    """A message and the replica id that it goes to."""
-
-    __slots__ = ("receiver", "message")
-
-    def __init__(self, receiver: str, message: messages.AnyMessage) -> None:
-        self.receiver = receiver
-        self.message = message
-
-
-class Ready:
-    """What the shell has to carry out, in this order.
-
-    Attributes:
-        early: Messages that may be sent before the sync.
-        hard_state: Term and vote to sync, or None when unchanged.
-        entries: Entries to append and sync; the first one's index may lie
-            below the end of the log, which is then cut first.
-        messages: Messages to send after the sync.
-        committed: Entries to apply.
-        snapshots: Replica ids that need a snapshot.
-    """
-
-    __slots__ = (
-        "early",
-        "hard_state",
-        "entries",
-        "messages",
-        "committed",
-        "snapshots",
-    )
-
-    def __init__(self) -> None:
-        self.early: list[Outbound] = []
-        self.hard_state: HardState | None = None
-        self.entries: list[messages.Entry] = []
-        self.messages: list[Outbound] = []
-        self.committed: list[messages.Entry] = []
-        self.snapshots: list[str] = []
-
-    def __bool__(self) -> bool:
-        return bool(
-            self.early
-            or self.hard_state
-            or self.entries
-            or self.messages
-            or self.committed
-            or self.snapshots
-        )
-
-
-class Progress:
-    """What the leader knows of another replica.
-
-    Attributes:
-        match: Last index known to be synced there.
-        next: Next index to send.
-        confirmed_at: Leader's time at which the last answered message was
-            sent.
-        snapshot_index: Index of the snapshot under way, or 0.
-    """
-
-    __slots__ = ("match", "next", "confirmed_at", "snapshot_index")
-
-    def __init__(self, next: int, confirmed_at: float) -> None:
-        self.match = 0
-        self.next = next
-        self.confirmed_at = confirmed_at
-        self.snapshot_index = 0
-
-
-class Log:
-    """The entries that are kept, after the last snapshot.
-
-    Attributes:
-        base_index: Index of the snapshot.
-        base_term: Term of the entry at that index.
-        entries: Entries from base_index + 1 on.
-    """
-
-    __slots__ = ("base_index", "base_term", "entries")
-
-    def __init__(
-        self,
-        base_index: int = 0,
-        base_term: int = 0,
-        entries: list[messages.Entry] | None = None,
-    ) -> None:
-        self.base_index = base_index
-        self.base_term = base_term
-        self.entries = entries or []
-
-    @property
-    def last_index(self) -> int:
-        """Index of the last entry."""
-        return self.base_index + len(self.entries)
-
-    @property
-    def last_term(self) -> int:
-        """Term of the last entry."""
-        return self.entries[-1].term if self.entries else self.base_term
-
-    def term(self, index: int) -> int | None:
-        """Returns the term at `index`, or None when it is not kept."""
-        if index == self.base_index:
-            return self.base_term
-        if self.base_index < index <= self.last_index:
-            return self.entries[index - self.base_index - 1].term
-        return None
-
-    def slice(self, start: int, stop: int) -> list[messages.Entry]:
-        """Returns the entries from `start` up to, not including, `stop`."""
-        base = self.base_index + 1
-        return self.entries[max(start - base, 0) : max(stop - base, 0)]
-
-    def cut(self, index: int) -> None:
-        """Drops the entries from `index` on."""
-        del self.entries[index - self.base_index - 1 :]
-
-    def compact(self, index: int) -> None:
-        """Drops the entries up to `index`, which a snapshot now holds."""
-        term = self.term(index)
-        if term is None or index <= self.base_index:
-            return
-        del self.entries[: index - self.base_index]
-        self.base_index = index
-        self.base_term = term
-
-
 class Replica:
     """One replica of the quorum log.
 
@@ -227,8 +84,8 @@
     def __init__(
         self,
         id: str,
-        hard: HardState,
-        log: Log,
+        hard: quorumlog.HardState,
+        log: quorumlog.Log,
         members: messages.Members,
         now: float,
         seed: int,
@@ -249,15 +106,15 @@
         self.term_start = 0
         self.elected_at = now
         self.entry_at = now
-        self.progress: dict[str, Progress] = {}
+        self.progress: dict[str, quorumlog.Progress] = {}
         self.votes: dict[str, bool] = {}
         self.pre = False
         self.transferee = ""
         self.transfer_deadline = now
         self.random = random.Random(f"{id}/{seed}")
         self.election_deadline = now
-        self._ready = Ready()
-        self._hard_taken = HardState(hard.term, hard.vote)
+        self._ready = quorumlog.Ready()
+        self._hard_taken = quorumlog.HardState(hard.term, hard.vote)
         self._unsynced = log.last_index + 1
         self._find_members()
         self._reset_election(now)
@@ -420,7 +277,7 @@
             self.base_members = members
             self.log.compact(index)
         else:
-            self.log = Log(index, term)
+            self.log = quorumlog.Log(index, term)
             self.base_members = members
             self._unsynced = index + 1
         self._ready.committed = []
@@ -446,12 +303,14 @@
         if progress is not None:
             progress.snapshot_index = 0
 
-    def take(self) -> Ready:
+    def take(self) -> quorumlog.Ready:
         """Returns what the shell has to carry out now."""
         ready = self._ready
-        self._ready = Ready()
+        self._ready = quorumlog.Ready()
         if self.hard != self._hard_taken:
-            ready.hard_state = HardState(self.hard.term, self.hard.vote)
+            ready.hard_state = quorumlog.HardState(
+                self.hard.term, self.hard.vote
+            )
             self._hard_taken = ready.hard_state
         if self._unsynced <= self.log.last_index:
             ready.entries = self.log.slice(
@@ -468,7 +327,7 @@
 
     def _follow(self, term: int, leader: str, now: float) -> None:
         if term > self.hard.term:
-            self.hard = HardState(term)
+            self.hard = quorumlog.HardState(term)
         if self.role == LEADER or leader:
             self._reset_election(now)
         self.role = FOLLOWER
@@ -482,7 +341,7 @@
         self.leader = ""
         self.pre = pre
         if not pre:
-            self.hard = HardState(self.hard.term + 1, self.id)
+            self.hard = quorumlog.HardState(self.hard.term + 1, self.id)
         self.votes = {self.id: True}
         term = self.hard.term + 1 if pre else self.hard.term
         for voter in self.members.voters:
@@ -523,7 +382,7 @@
     def _answer_vote(self, vote: messages.Vote, now: float) -> None:
         granted = self._grants(vote, now)
         if granted and not vote.pre:
-            self.hard = HardState(vote.term, vote.candidate)
+            self.hard = quorumlog.HardState(vote.term, vote.candidate)
             self._reset_election(now)
         term = vote.term if granted else self.hard.term
         answer = messages.VoteAnswer(term, self.id, granted, vote.pre)
@@ -558,7 +417,9 @@
         known = self.members.voters.keys() | self.members.learners.keys()
         for id in known - {self.id}:
             if id not in self.progress:
-                self.progress[id] = Progress(self.log.last_index + 1, now)
+                self.progress[id] = quorumlog.Progress(
+                    self.log.last_index + 1, now
+                )
         for id in self.progress.keys() - known:
             del self.progress[id]
 
@@ -594,7 +455,7 @@
     def _send_append(
         self,
         id: str,
-        progress: Progress,
+        progress: quorumlog.Progress,
         entries: list[messages.Entry],
         now: float,
     ) -> None:
@@ -606,11 +467,11 @@
         )
         # A leader may send entries while it syncs them itself: it counts
         # itself only once synced (Ongaro, section 10.2.1).
-        self._ready.early.append(Outbound(id, message))
+        self._ready.early.append(quorumlog.Outbound(id, message))
         progress.next += len(entries)
 
     def _send_snapshot(
-        self, id: str, progress: Progress, now: float, heartbeat: bool
+        self, id: str, progress: quorumlog.Progress, now: float, heartbeat: bool
     ) -> None:
         if progress.snapshot_index == 0:
             progress.snapshot_index = self.log.base_index
@@ -626,7 +487,7 @@
                 min(self.commit, self.log.base_index),
                 now,
             )
-            self._ready.early.append(Outbound(id, message))
+            self._ready.early.append(quorumlog.Outbound(id, message))
 
     def _accept(self, append: messages.Append, now: float) -> None:
         index = append.previous_index
@@ -705,7 +566,7 @@
             self.applied = last
 
     def _send(self, receiver: str, message: messages.AnyMessage) -> None:
-        self._ready.messages.append(Outbound(receiver, message))
+        self._ready.messages.append(quorumlog.Outbound(receiver, message))
 
 
 def _batch(entries: list[messages.Entry]) -> list[messages.Entry]:
@@ -800,8 +661,8 @@
 
 def start(
     id: str,
-    hard: HardState,
-    log: Log,
+    hard: quorumlog.HardState,
+    log: quorumlog.Log,
     members: messages.Members,
     now: float,
     seed: int,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 import random
 
 from pollenseam import messages
+from pollenseam import quorumlog
 from pollenseam import replica
 
 
@@ -11,11 +12,11 @@
     """What one replica has synced."""
 
     def __init__(self) -> None:
-        self.hard = replica.HardState()
-        self.log = replica.Log()
+        self.hard = quorumlog.HardState()
+        self.log = quorumlog.Log()
         self.members = messages.Members({})
 
-    def write(self, ready: replica.Ready) -> None:
+    def write(self, ready: quorumlog.Ready) -> None:
         if ready.hard_state is not None:
             self.hard = copy.copy(ready.hard_state)
         for entry in ready.entries:
@@ -38,7 +39,7 @@
 
     def start(self, now: float) -> None:
         self.starts += 1
-        log = replica.Log(
+        log = quorumlog.Log(
             self.disk.log.base_index,
             self.disk.log.base_term,
             list(self.disk.log.entries),
@@ -108,7 +109,7 @@
             self._install(node, receiver)
         self.check(node)
 
-    def _send(self, node: Node, outbound: list[replica.Outbound]) -> None:
+    def _send(self, node: Node, outbound: list[quorumlog.Outbound]) -> None:
         for one in outbound:
             if (node.id, one.receiver) not in self.cuts:
                 self.wire.append((node.id, one.receiver, one.message))
@@ -151,7 +152,7 @@
             kept = node.disk.log.slice(
                 chunk.index + 1, node.disk.log.last_index + 1
             )
-        node.disk.log = replica.Log(chunk.index, chunk.last_term, kept)
+        node.disk.log = quorumlog.Log(chunk.index, chunk.last_term, kept)
         node.disk.members = chunk.members
         node.core.restore(chunk.index, chunk.last_term, chunk.members)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,7 +8,7 @@
 from pollenseam import errors
 from pollenseam import journal
 from pollenseam import messages
-from pollenseam import replica
+from pollenseam import quorumlog
 
 
 def entries(first, last, term=1):
@@ -25,9 +25,9 @@
 
 def fill(folder):
     book, _ = reopen(folder)
-    book.append(replica.HardState(1, "v"), entries(1, 3))
+    book.append(quorumlog.HardState(1, "v"), entries(1, 3))
     book.append(None, entries(4, 6))
-    book.append(replica.HardState(2, ""), entries(7, 9, 2))
+    book.append(quorumlog.HardState(2, ""), entries(7, 9, 2))
     book.close()
     return sorted(folder.glob("*.log"))[-1]
 
@@ -138,4 +138,4 @@
 
     monkeypatch.setattr(os, "fdatasync", full)
     with pytest.raises(OSError, match="no space"):
-        book.append(replica.HardState(1, "v"), entries(1, 1))
+        book.append(quorumlog.HardState(1, "v"), entries(1, 1))
