--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the whole bench: the hop, the control plane, the slopes."""
+"""Runs the whole bench: the hop, the control plane, the slopes, steering."""
 
 import subprocess
 import sys
@@ -7,6 +7,8 @@
     ("bench.hop",),
     ("bench.control", "9", "30"),
     ("bench.slopes",),
+    ("bench.steering",),
+    ("bench.plots",),
 )
 
 
