--- a/src/pollenseam/entry.py
+++ b/src/pollenseam/entry.py
@@ -16,6 +16,7 @@
 from pollenseam import errors
 from pollenseam import forwarder
 from pollenseam import headers
+from pollenseam import keys
 from pollenseam import lookups
 from pollenseam import operators
 from pollenseam import traces
@@ -180,7 +181,7 @@
         _check_length(request, announcing.MAX_BODY_BYTES)
         body = await request.read()
         announcement = announcing.parse(body)
-        text = headers_key(request)
+        text = keys.bearer(request.headers.get("Authorization"))
         again_ms = announcing.accept(self.vm, text, announcement)
         self.vm.refresh_pools()
         return web.json_response({"again_ms": again_ms})
@@ -257,7 +258,7 @@
                 errors.Kind.NOT_FRESH,
                 "this VM's settings are too old to check keys",
             )
-        text = headers_key(exchange.request)
+        text = keys.bearer(exchange.request.headers.get("Authorization"))
         key = announcing.check_key(own, text)
         node = own.catalog.workspaces.get(key.owner)
         if node is None or not exchange.route.service.admits(key.owner):
@@ -419,15 +420,6 @@
         return response
 
 
-def headers_key(request: web.BaseRequest) -> str | None:
-    """Returns the key in a request's Authorization header."""
-    value = request.headers.get("Authorization")
-    if value is None:
-        return None
-    scheme, _, token = value.partition(" ")
-    return token.strip() if scheme.lower() == "bearer" else None
-
-
 def _check_length(request: web.BaseRequest, limit: int) -> None:
     length = request.content_length
     if length is not None and length > limit:
