One place for the leader's address and for kinds that another VM may answer

The renewer had its own copy of the submitter's search for the leader; the client and the entry each listed the same three kinds; a test loop stood three times; Vm.is_leaving was used by nothing. No behaviour changes.

--- a/src/pollenseam/client.py
+++ b/src/pollenseam/client.py
@@ -58,7 +58,7 @@
             try:
                 return await self._try(method, address, page, body, query)
             except errors.RefusedError as error:
-                if error.refusal.kind not in _ELSEWHERE:
+                if error.refusal.kind not in errors.ELSEWHERE:
                     raise
                 last = error
             except (aiohttp.ClientError, OSError, TimeoutError):
@@ -111,13 +111,6 @@
             await asyncio.sleep(POLL_SECONDS)
 
 
-_ELSEWHERE = (
-    errors.Kind.NO_QUORUM,
-    errors.Kind.STOPPING,
-    errors.Kind.NOT_FRESH,
-)
-
-
 def _refusal(status: int, raw: bytes) -> errors.RefusedError:
     try:
         problem = msgspec.json.decode(raw)
--- a/src/pollenseam/entry.py
+++ b/src/pollenseam/entry.py
@@ -33,13 +33,6 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-_ELSEWHERE = (
-    errors.Kind.NOT_FRESH,
-    errors.Kind.NO_QUORUM,
-    errors.Kind.STOPPING,
-)
-
-
 class Problem(msgspec.Struct, omit_defaults=True):
     """The body of a refusal (RFC 9457)."""
 
@@ -387,7 +380,7 @@
         own.metrics.refused[refusal.kind] += 1
         answer = errors.ANSWERS[refusal.kind]
         entries = []
-        if refusal.kind in _ELSEWHERE:
+        if refusal.kind in errors.ELSEWHERE:
             entries = own.fresh_entries()
         problem = Problem(
             f"urn:pollenseam:{refusal.kind.value}",
--- a/src/pollenseam/errors.py
+++ b/src/pollenseam/errors.py
@@ -77,6 +77,10 @@
 }
 
 
+# Another VM may well do what this one refuses.
+ELSEWHERE = frozenset({Kind.NOT_FRESH, Kind.NO_QUORUM, Kind.STOPPING})
+
+
 class Refusal:
     """One refused request or operation.
 
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -76,7 +76,7 @@
         own = self.vm.control
         if own is not None and own.is_leader:
             return await self.answer(request)
-        address = self._address()
+        address = self.submitter.leader_address(self._attempt)
         if not address:
             return None
         try:
@@ -90,15 +90,6 @@
             self._note_failure(answer.leader)
         return answer
 
-    def _address(self) -> str:
-        own = self.vm.control
-        if own is not None and not own.failed and own.leader_address:
-            return own.leader_address
-        if self.submitter.leader:
-            return self.submitter.leader
-        found = self.submitter.replica_addresses()
-        return found[self._attempt % len(found)] if found else ""
-
     def _note_failure(self, leader: str) -> None:
         self._attempt += 1
         self.submitter.leader = leader
--- a/src/pollenseam/submitter.py
+++ b/src/pollenseam/submitter.py
@@ -79,7 +79,7 @@
         attempt: int,
         deadline: float,
     ) -> messages.Submitted | None:
-        address = self._address(attempt)
+        address = self.leader_address(attempt)
         if not address:
             return None
         left = min(CALL_TIMEOUT_SECONDS, deadline - self.vm.now())
@@ -95,7 +95,12 @@
             self.leader = answer.detail
         return answer
 
-    def _address(self, attempt: int) -> str:
+    def leader_address(self, attempt: int) -> str:
+        """Returns where the leader most likely is, or "" when unknown.
+
+        Args:
+            attempt: Failures so far; each turns to another replica.
+        """
         own = self.vm.control
         if own is not None and not own.failed and own.leader_address:
             return own.leader_address
@@ -145,7 +150,7 @@
         own = self.vm.control
         if own is not None and own.is_leader:
             return await self._confirm(deadline)
-        address = self._address(attempt)
+        address = self.leader_address(attempt)
         if not address:
             return messages.ReadAt(-1, 0)
         left = min(CALL_TIMEOUT_SECONDS, deadline - self.vm.now())
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -112,14 +112,6 @@
         """Name under which this start of the VM holds leases."""
         return f"{self.flags.vm}/{self.incarnation}"
 
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the VM has begun its planned stop."""
-        return self.life.state in (
-            lifecycles.VmState.LEAVING,
-            lifecycles.VmState.GONE,
-        )
-
     def settings_age_ms(self) -> int:
         """Returns the age of the settings in ms; -1 when not known."""
         self._note_own_lead()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -225,6 +225,15 @@
         ]
         return found[0] if found else None
 
+    def step(self) -> None:
+        """Lets 0.05 s pass and delivers in order what is under way."""
+        self.now += 0.05
+        for id in self.nodes:
+            self.tick(id)
+            self.work(id)
+        for _ in range(len(self.wire)):
+            self.deliver(0)
+
     def settle(self, seconds: float = 8.0) -> None:
         """Heals everything and runs in order until a leader is steady."""
         self.cuts.clear()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -122,12 +122,7 @@
     cluster.cuts |= {(old.id, id) for id in others}
     cluster.cuts |= {(id, old.id) for id in others}
     for _ in range(100):
-        cluster.now += 0.05
-        for id in IDS:
-            cluster.tick(id)
-            cluster.work(id)
-        for _ in range(len(cluster.wire)):
-            cluster.deliver(0)
+        cluster.step()
         if old.core.role == replica.LEADER:
             assert old.core.confirmed_at(cluster.now) <= cut_off_at
     assert old.core.role != replica.LEADER
@@ -141,12 +136,7 @@
     lonely = next(id for id in IDS if id != leader.id)
     cluster.nodes[lonely].is_paused = True
     for _ in range(200):
-        cluster.now += 0.05
-        for id in IDS:
-            cluster.tick(id)
-            cluster.work(id)
-        for _ in range(len(cluster.wire)):
-            cluster.deliver(0)
+        cluster.step()
     cluster.settle(5.0)
     assert cluster.leader().id == leader.id
     assert leader.core.hard.term == term
@@ -160,12 +150,7 @@
     for _ in range(5):
         cluster.propose(leader.id)
         for _ in range(10):
-            cluster.now += 0.05
-            for id in IDS:
-                cluster.tick(id)
-                cluster.work(id)
-            for _ in range(len(cluster.wire)):
-                cluster.deliver(0)
+            cluster.step()
     cluster.compact(leader.id)
     assert leader.core.log.base_index > 1
     cluster.settle(5.0)
