Refusals over the rate are counted by workspace

The counter was exposed and shown by 'pollenseam status', and nothing ever counted: the most refused workspace was always empty. A test holds it.

--- a/src/pollenseam/admission.py
+++ b/src/pollenseam/admission.py
@@ -55,7 +55,7 @@
             self._trace_taken(resource, now)
             return
         if account.waiting >= MAX_TOKEN_WAITERS:
-            raise self._over_rate(account)
+            raise self._over_rate(resource, account)
         account.waiting += 1
         own.lease_wake.set()
         turn = self._turns.setdefault(resource, asyncio.Lock())
@@ -64,7 +64,7 @@
                 async with turn:
                     await self._poll_token(resource, account.bucket)
         except TimeoutError:
-            raise self._over_rate(account) from None
+            raise self._over_rate(resource, account) from None
         finally:
             account.waiting -= 1
 
@@ -83,12 +83,15 @@
             delay = bucket.available_at(1.0, now) - now
             await asyncio.sleep(min(max(delay, MIN_POLL_SECONDS), POLL_SECONDS))
 
-    def _over_rate(self, account: buckets.Account) -> errors.RefusedError:
+    def _over_rate(
+        self, resource: str, account: buckets.Account
+    ) -> errors.RefusedError:
         if not account.is_lent(self.vm.now()):
             # Nothing is known against the workspace: the leader is.
             return errors.refuse(
                 errors.Kind.NO_QUORUM, "this VM holds no share of the rate"
             )
+        self.vm.metrics.workspace_refused[resource] += 1
         assert account.bucket.lease is not None
         rate = account.bucket.lease.rate
         detail = f"the workspace is over its rate (share here {rate:.3g}/s)"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -329,6 +329,8 @@
     refused = [a for a in answers if a.status == 429]
     assert refused and refused[0].headers["Retry-After"] == "1"
     assert stand_in.total <= 2 + 5 * 1.5
+    counted = bench.daemon.vm.metrics.workspace_refused
+    assert counted["/teams/t/workspaces/slow"] == len(refused)
 
 
 async def test_no_key_or_token_is_ever_logged(bench):
