On the users' machines: the whole path, thin

Items with a version each, upstreams ordered by start and sequence, evacuations and a directory of entry VMs stand in the quorum log's state machine; control VMs found the quorum from three seeds and take others in; entry VMs follow one control VM, hold shares of rates and send to upstreams by rendezvous order. platform/ translates.

--- /dev/null
+++ b/src/pollenseam/carrier.py
@@ -0,0 +1,514 @@
+"""Carries an entry VM's requests to upstreams: tries, refusals, whole answers.
+
+How a request and its answer look on the wire is for a Dialect to say.
+"""
+
+import asyncio
+from typing import Protocol
+
+import aiohttp
+import multidict
+import yarl
+
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import retries
+from pollenseam import sessions
+from pollenseam import steering
+from pollenseam import tables
+from pollenseam import vm
+
+CONNECT_SECONDS = 0.5
+KEEP_ALIVE_SECONDS = 8.0
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_CONNECT_FAILURES = 3
+# An upstream that took this many times longer than expected, and this long
+# at least, is held to be silent.
+SILENT_RATIO = 3.0
+SILENT_SECONDS = 0.8
+MIN_RETRY_AFTER_SECONDS = 0.05
+# Part of the expected work that is surely needed.
+CERTAIN_WORK_RATIO = 0.6
+# Part of its time that a request may be expected to wait, by priority:
+# lower ones leave room for higher ones.
+WAIT_RATIOS = (1.0, 0.9, 0.6)
+
+
+class Call:
+    """One request of a caller.
+
+    Attributes:
+        id: The caller's id of it.
+        method: Its method.
+        target: Path and query as sent.
+        host: Its host.
+        path: Its path.
+        headers: Headers that go on to the upstream.
+        body: Its whole body.
+        key: The caller's key, or None.
+        object: What it concerns, or None.
+        deadline: Time after which the caller no longer waits.
+        arrived_at: Time at which it was read.
+        workspace: Name of the key's workspace, or "".
+    """
+
+    __slots__ = (
+        "id",
+        "method",
+        "target",
+        "host",
+        "path",
+        "headers",
+        "body",
+        "key",
+        "object",
+        "deadline",
+        "arrived_at",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        method: str,
+        target: str,
+        host: str,
+        path: str,
+        headers: multidict.CIMultiDict[str],
+        body: bytes,
+        key: str | None,
+        object: str | None,
+        deadline: float,
+        arrived_at: float,
+    ) -> None:
+        self.id = id
+        self.method = method
+        self.target = target
+        self.host = host
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.key = key
+        self.object = object
+        self.deadline = deadline
+        self.arrived_at = arrived_at
+        self.workspace = ""
+
+
+class Head:
+    """What an answer's head says.
+
+    Attributes:
+        is_not_run: Whether the upstream declared that it did not run it.
+        is_other: Whether another upstream has the address now.
+        is_own: Whether it is the upstream's answer to this very request.
+        running: Requests that the upstream runs, or -1 when it does not say.
+        waiting: Requests that wait there.
+    """
+
+    __slots__ = ("is_not_run", "is_other", "is_own", "running", "waiting")
+
+    def __init__(
+        self,
+        is_not_run: bool,
+        is_other: bool,
+        is_own: bool,
+        running: int = -1,
+        waiting: int = 0,
+    ) -> None:
+        self.is_not_run = is_not_run
+        self.is_other = is_other
+        self.is_own = is_own
+        self.running = running
+        self.waiting = waiting
+
+
+class Dialect(Protocol):
+    """How upstreams are spoken to."""
+
+    def request_headers(
+        self, call: Call, upstream: str, left_seconds: float
+    ) -> multidict.CIMultiDict[str]:
+        """Returns the headers of a send of `call` to an upstream."""
+
+    def read_head(self, call: Call, answer: aiohttp.ClientResponse) -> Head:
+        """Returns what an answer's head says."""
+
+
+class Reply:
+    """An upstream's whole answer.
+
+    Attributes:
+        status: Its status.
+        reason: Its reason phrase.
+        headers: Its headers.
+        body: Its whole body.
+    """
+
+    __slots__ = ("status", "reason", "headers", "body")
+
+    def __init__(
+        self,
+        status: int,
+        reason: str | None,
+        headers: multidict.CIMultiDictProxy[str],
+        body: bytes,
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.headers = headers
+        self.body = body
+
+
+class Trip:
+    """One call on its way through its tries.
+
+    Attributes:
+        call: The call.
+        entry: Its route.
+        service: Name of the service that it goes to.
+        pool: Upstreams of that service.
+        deadline: Time by which it has its final answer.
+        regions: Regions that may serve it; all when empty.
+        priority: 0 goes first.
+        tried: Ids of upstreams that must not get it again.
+        arrivals: Sends that arrived at an upstream.
+        runs: Sends that may have run.
+        connect_failures: Sends that did not leave this VM.
+        reply: An upstream's failure that is passed on if no try does better.
+        refusal: What the last try came to, or None.
+    """
+
+    __slots__ = (
+        "call",
+        "entry",
+        "service",
+        "pool",
+        "deadline",
+        "regions",
+        "priority",
+        "tried",
+        "arrivals",
+        "runs",
+        "connect_failures",
+        "reply",
+        "refusal",
+    )
+
+    def __init__(
+        self,
+        call: Call,
+        entry: tables.Entry,
+        service: str,
+        pool: steering.Pool,
+        deadline: float,
+        regions: frozenset[str],
+        priority: int,
+    ) -> None:
+        self.call = call
+        self.entry = entry
+        self.service = service
+        self.pool = pool
+        self.deadline = deadline
+        self.regions = regions
+        self.priority = priority
+        self.tried: set[str] = set()
+        self.arrivals = 0
+        self.runs = 0
+        self.connect_failures = 0
+        self.reply: Reply | None = None
+        self.refusal: errors.Refusal | None = None
+
+    def ask(self) -> steering.Ask:
+        """Returns what it needs of an upstream."""
+        return steering.Ask(
+            self.entry.name, self.call.object, self.regions, self.tried
+        )
+
+    def may_run(self) -> bool:
+        """Whether it may be sent to one more upstream."""
+        if self.connect_failures >= MAX_CONNECT_FAILURES:
+            return False
+        if self.runs and not self.entry.route.is_repeatable:
+            return False
+        return self.runs < self.entry.route.max_attempts
+
+
+class Carrier:
+    """Sends calls to upstreams.
+
+    Attributes:
+        dialect: How upstreams are spoken to.
+        log: Event log.
+        budgets: Further sends by service.
+            vms: Entry VMs that share the budgets.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        log: events.EventLog,
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_seconds: float,
+    ) -> None:
+        self.dialect = dialect
+        self.log = log
+        self.now = vm.boot_seconds
+        self.vms = 1
+        self.retry_ratio = retry_ratio
+        self.retry_slack = retry_slack
+        self.retry_window_seconds = retry_window_seconds
+        self.budgets: dict[str, retries.Budget] = {}
+        self.session = sessions.open_session(
+            CONNECT_SECONDS, KEEP_ALIVE_SECONDS
+        )
+
+    async def close(self) -> None:
+        """Closes all connections to upstreams."""
+        await self.session.close()
+
+    async def carry(self, trip: Trip) -> Reply:
+        """Returns an upstream's whole answer.
+
+        Raises:
+            RefusedError: No upstream answered it in time.
+        """
+        self._budget(trip.service).note(self.now())
+        while True:
+            try:
+                choice = self._choose(trip)
+            except errors.RefusedError:
+                if trip.reply is not None:
+                    return trip.reply
+                raise
+            upstream = choice.upstream
+            trip.tried.add(upstream.record.id)
+            upstream.in_flight += 1
+            try:
+                reply = await self._try(trip, choice)
+            finally:
+                upstream.in_flight -= 1
+            if reply is not None:
+                return reply
+
+    def _budget(self, service: str) -> retries.Budget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = retries.Budget(
+                self.retry_ratio, self.retry_slack, self.retry_window_seconds
+            )
+        return budget
+
+    def _choose(self, trip: Trip) -> steering.Choice:
+        now = self.now()
+        if trip.refusal is not None and not trip.may_run():
+            raise errors.RefusedError(trip.refusal)
+        choice = trip.pool.choose(trip.ask(), now)
+        if choice is None:
+            raise self._give_up(trip, "no upstream serves", 1.0)
+        left = trip.deadline - now
+        ratio = WAIT_RATIOS[min(max(trip.priority, 0), len(WAIT_RATIOS) - 1)]
+        work = choice.work_seconds * CERTAIN_WORK_RATIO
+        if choice.wait_seconds > left * ratio or work > left:
+            raise self._give_up(
+                trip, "no upstream has room", choice.wait_seconds
+            )
+        if trip.arrivals and not self._budget(trip.service).spend(
+            self.vms, now
+        ):
+            raise self._give_up(trip, "the retry budget is used up", 0.5)
+        return choice
+
+    def _give_up(
+        self, trip: Trip, why: str, retry_after: float
+    ) -> errors.RefusedError:
+        """Returns the best that can be said of a trip that ends."""
+        if trip.refusal is not None and trip.runs:
+            return errors.RefusedError(trip.refusal)
+        return errors.refuse(
+            errors.Kind.NO_ROOM,
+            why,
+            executed="no",
+            retry_after=max(MIN_RETRY_AFTER_SECONDS, retry_after),
+        )
+
+    async def _try(self, trip: Trip, choice: steering.Choice) -> Reply | None:
+        """Sends a call once; None when another upstream may get it."""
+        upstream = choice.upstream
+        started = self.now()
+        try:
+            async with asyncio.timeout_at(vm.loop_deadline(trip.deadline)):
+                answer = await self._open(trip, upstream)
+                return await self._take(trip, choice, answer, started)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            upstream.fail(self.now())
+            trip.connect_failures += 1
+            self._note(trip, upstream, "unreachable", started, repr(error))
+            trip.refusal = trip.refusal or errors.Refusal(
+                errors.Kind.NO_ROOM, "the upstream is out of reach", "no"
+            )
+            return None
+        except TimeoutError:
+            self._judge_silence(choice, self.now() - started)
+            self._note(trip, upstream, "no-answer-in-time", started, "")
+            raise errors.refuse(
+                errors.Kind.DEADLINE, "no answer came in time", "unknown"
+            ) from None
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            upstream.fail(self.now())
+            self._break(trip, upstream, started, repr(error))
+            return None
+
+    def _judge_silence(self, choice: steering.Choice, seconds: float) -> None:
+        expected = choice.seconds
+        if seconds > max(SILENT_SECONDS, SILENT_RATIO * expected):
+            choice.upstream.fail(self.now())
+
+    def _break(
+        self, trip: Trip, upstream: steering.Upstream, started: float, why: str
+    ) -> None:
+        """Notes a send that may have run and has no answer."""
+        trip.arrivals += 1
+        trip.runs += 1
+        trip.refusal = errors.Refusal(
+            errors.Kind.UPSTREAM_FAILED, "the upstream broke off", "unknown"
+        )
+        self._note(trip, upstream, "broken", started, why)
+
+    async def _open(
+        self, trip: Trip, upstream: steering.Upstream
+    ) -> aiohttp.ClientResponse:
+        call = trip.call
+        left = min(trip.deadline, call.deadline) - self.now()
+        headers = self.dialect.request_headers(call, upstream.record.id, left)
+        address = upstream.record.address
+        return await self.session.request(
+            call.method,
+            yarl.URL(f"http://{address}{call.target}", encoded=True),
+            headers=headers,
+            data=call.body or None,
+            allow_redirects=False,
+        )
+
+    async def _take(
+        self,
+        trip: Trip,
+        choice: steering.Choice,
+        answer: aiohttp.ClientResponse,
+        started: float,
+    ) -> Reply | None:
+        upstream = choice.upstream
+        is_whole = False
+        try:
+            head = self.dialect.read_head(trip.call, answer)
+            body = await answer.read()
+            is_whole = head.is_own or head.is_not_run
+        finally:
+            # A connection with an answer under way is never used again.
+            if is_whole:
+                answer.release()
+            else:
+                answer.close()
+        now = self.now()
+        if head.running >= 0:
+            upstream.report(head.running, head.waiting, now)
+            # This request has just ended, but still counts as in flight.
+            upstream.others = max(0.0, upstream.others + 1)
+        if head.is_other:
+            upstream.fail(now)
+            self._pass_by(trip, upstream, "replaced", started)
+            return None
+        if head.is_not_run:
+            upstream.shed(now)
+            self._pass_by(trip, upstream, "shed", started)
+            return None
+        if not head.is_own:
+            upstream.err(now)
+            self._break(trip, upstream, started, "a foreign answer")
+            return None
+        reply = Reply(answer.status, answer.reason, answer.headers, body)
+        return self._judge(trip, choice, reply, started)
+
+    def _pass_by(
+        self, trip: Trip, upstream: steering.Upstream, what: str, started: float
+    ) -> None:
+        """Notes a send that the upstream declared as not run."""
+        trip.arrivals += 1
+        if not trip.runs:
+            trip.refusal = errors.Refusal(
+                errors.Kind.NO_ROOM, "the upstream has no room", "no"
+            )
+        self._note(trip, upstream, what, started, "")
+
+    def _judge(
+        self,
+        trip: Trip,
+        choice: steering.Choice,
+        reply: Reply,
+        started: float,
+    ) -> Reply | None:
+        now = self.now()
+        upstream = choice.upstream
+        trip.arrivals += 1
+        trip.runs += 1
+        if reply.status < 500:
+            self._learn(trip, choice, now - started)
+            return reply
+        upstream.err(now)
+        self._note(trip, upstream, "failed", started, str(reply.status))
+        trip.reply = reply
+        can_retry = trip.may_run() and now < trip.deadline
+        if not can_retry or not self._is_worth(trip, now):
+            return reply
+        trip.refusal = errors.Refusal(
+            errors.Kind.UPSTREAM_FAILED, "the upstream failed", "unknown"
+        )
+        return None
+
+    def _is_worth(self, trip: Trip, now: float) -> bool:
+        """Tells whether another try has time and an upstream."""
+        choice = trip.pool.choose(trip.ask(), now)
+        if choice is None or now + choice.seconds > trip.deadline:
+            return False
+        budget = self._budget(trip.service)
+        return budget.has(self.vms, now)
+
+    def _learn(
+        self, trip: Trip, choice: steering.Choice, seconds: float
+    ) -> None:
+        now = self.now()
+        upstream = choice.upstream
+        object = trip.call.object
+        expected = choice.seconds
+        if choice.wait_seconds == 0.0 and upstream.judged_slowness(now) < 1.5:
+            is_known = object is not None and object in upstream.known
+            ratio = steering.KNOWN_WORK_RATIO if is_known else 1.0
+            if is_known or object is None:
+                trip.pool.statistics.note(trip.entry.name, seconds / ratio)
+        upstream.succeed(object, seconds, expected, now)
+
+    def _note(
+        self,
+        trip: Trip,
+        upstream: steering.Upstream,
+        outcome: str,
+        started: float,
+        why: str,
+    ) -> None:
+        self.log.emit_often(
+            "try",
+            request=trip.call.id,
+            service=trip.service,
+            upstream=upstream.record.id,
+            outcome=outcome,
+            seconds=self.now() - started,
+            in_flight=upstream.in_flight,
+            load=upstream.load(self.now()),
+            runs=trip.runs,
+            arrivals=trip.arrivals,
+            why=why or None,
+        )
--- a/src/pollenseam/commands.py
+++ b/src/pollenseam/commands.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pollenseam import items
+from pollenseam import registry
 from pollenseam import settings
 
 
@@ -111,6 +113,25 @@
     """Moves the state clock on; the first entry of every term is one."""
 
 
+class PatchItems(Command, tag="items"):
+    """Sets and deletes items; each takes effect if its version is newer."""
+
+    written: list[items.Item]
+
+
+class SetEvacuation(Command, tag="evacuate"):
+    """Empties a failure domain of requests, or takes it back."""
+
+    failure_domain: str
+    is_on: bool
+
+
+class RecordUpstreams(Command, tag="upstreams"):
+    """Takes in what upstreams announced of themselves."""
+
+    records: list[registry.Upstream]
+
+
 AnyCommand = (
     ApplySettings
     | PutNode
@@ -121,6 +142,9 @@
     | ReleaseClaim
     | Found
     | Advance
+    | PatchItems
+    | SetEvacuation
+    | RecordUpstreams
 )
 
 
--- a/src/pollenseam/control.py
+++ b/src/pollenseam/control.py
@@ -179,6 +179,10 @@
         self._inbox.extend(batch.messages)
         self._wake.set()
 
+    def wake(self) -> None:
+        """Lets the loop carry out what was decided outside of it."""
+        self._wake.set()
+
     async def submit(self, command: commands.Command) -> commands.Outcome:
         """Carries a command through the log and returns its outcome.
 
--- /dev/null
+++ b/src/pollenseam/entryvm.py
@@ -0,0 +1,479 @@
+"""An entry VM: follows the registry, holds shares of rates, admits calls."""
+
+import asyncio
+import contextlib
+import time
+
+from pollenseam import buckets
+from pollenseam import carrier
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import freshness
+from pollenseam import items
+from pollenseam import leases
+from pollenseam import messages
+from pollenseam import news
+from pollenseam import peers
+from pollenseam import registry
+from pollenseam import steering
+from pollenseam import tables
+from pollenseam import tasks
+from pollenseam import vm
+
+WATCH_WAIT_MS = 1000
+CALL_TIMEOUT_SECONDS = 0.6
+RETRY_SECONDS = 0.05
+# A source whose news is older than this is cut off: another one is asked.
+MAX_SOURCE_AGE_SECONDS = 1.2
+AVOID_SECONDS = 2.0
+RENEW_SECONDS = 0.5
+RENEW_RETRY_SECONDS = 0.1
+URGENT_SECONDS = 0.03
+TOKEN_WAIT_SECONDS = 0.25
+TOKEN_POLL_SECONDS = 0.01
+
+
+class Settings:
+    """What an entry VM is told at its start.
+
+    Attributes:
+        name: Its name.
+        region: Its region.
+        failure_domain: Its failure domain.
+        address: IP:PORT for callers.
+        regions: Region of each failure domain.
+        seeds: Addresses of some control VMs.
+        fresh_seconds: Age of the settings above which no key is accepted.
+        retry_ratio: Further sends per request, for all VMs together.
+        retry_slack: Further sends per window, for all VMs together.
+        retry_window_seconds: Length of that window.
+    """
+
+    __slots__ = (
+        "name",
+        "region",
+        "failure_domain",
+        "address",
+        "regions",
+        "seeds",
+        "fresh_seconds",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window_seconds",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        failure_domain: str,
+        address: str,
+        regions: dict[str, str],
+        seeds: list[str],
+        fresh_seconds: float,
+        retry_ratio: float,
+        retry_slack: float,
+        retry_window_seconds: float,
+    ) -> None:
+        self.name = name
+        self.region = region
+        self.failure_domain = failure_domain
+        self.address = address
+        self.regions = regions
+        self.seeds = seeds
+        self.fresh_seconds = fresh_seconds
+        self.retry_ratio = retry_ratio
+        self.retry_slack = retry_slack
+        self.retry_window_seconds = retry_window_seconds
+
+
+class EntryVm:
+    """One entry VM's view, and the calls that it admits.
+
+    Attributes:
+        settings: What it was told at its start.
+        log: Event log.
+        peers: Calls to other VMs.
+        registry: Items and upstreams in force here.
+        directory: Who is there.
+        table: Routes and keys, compiled.
+        pools: Upstreams by service.
+        freshness: Age of the registry.
+        book: Leased shares of workspaces' rates.
+        carrier: Sends calls to upstreams.
+        is_leaving: Whether it is about to stop.
+        in_flight: Calls under way.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        log: events.EventLog,
+        caller: peers.Peers,
+        dialect: carrier.Dialect,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.peers = caller
+        self.now = vm.boot_seconds
+        self.started_ms = time.time_ns() // 1_000_000
+        self.registry = registry.Registry()
+        self.directory = news.Directory()
+        self.table = tables.Table()
+        self.pools: dict[str, steering.Pool] = {}
+        self.statistics = steering.Statistics()
+        self.freshness = freshness.Freshness()
+        self.book = buckets.Book()
+        self.carrier = carrier.Carrier(
+            dialect,
+            log,
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_seconds,
+        )
+        self.is_leaving = False
+        self.in_flight = 0
+        self.leader = ""
+        self._renew_now = asyncio.Event()
+        self._avoided: dict[str, float] = {}
+        self._tasks = tasks.Group(log)
+        self._was_fresh = False
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Starts to follow the registry."""
+        self._tasks.spawn(self._watch())
+        self._tasks.spawn(self._renew())
+
+    async def leave(self) -> None:
+        """Tells the leader that callers should go elsewhere."""
+        self.is_leaving = True
+        self._renew_now.set()
+
+    async def stop(self) -> None:
+        """Gives all shares back and stops."""
+        self._tasks.cancel()
+        self.book.accounts.clear()
+        await self._call_leader(news.Renew(self.own, []))
+        await self.carrier.close()
+        await self.peers.close()
+
+    @property
+    def own(self) -> news.EntryVm:
+        """This VM's record in the directory."""
+        settings = self.settings
+        return news.EntryVm(
+            settings.name,
+            self.started_ms,
+            settings.address,
+            settings.region,
+            settings.failure_domain,
+            self.is_ready and not self.is_leaving,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it can serve callers."""
+        return self.registry.index > 0 and self.is_fresh()
+
+    def is_fresh(self) -> bool:
+        """Whether the settings are young enough to accept keys."""
+        age = self.freshness.age(self.now())
+        return age <= self.settings.fresh_seconds
+
+    # Following the registry.
+
+    async def _watch(self) -> None:
+        while True:
+            source = self._source()
+            if not await self._watch_once(source):
+                self._avoided[source] = self.now() + AVOID_SECONDS
+                await asyncio.sleep(RETRY_SECONDS)
+            self._note_freshness()
+
+    def _source(self) -> str:
+        """Returns the nearest control VM that is not avoided."""
+        settings = self.settings
+        now = self.now()
+        controls = sorted(
+            self.directory.controls,
+            key=lambda c: (
+                c.failure_domain != settings.failure_domain,
+                c.region != settings.region,
+                c.address,
+            ),
+        )
+        addresses = [c.address for c in controls]
+        addresses += [s for s in settings.seeds if s not in addresses]
+        for address in addresses:
+            if self._avoided.get(address, 0.0) <= now:
+                return address
+        return min(addresses, key=lambda a: self._avoided[a])
+
+    async def _watch_once(self, source: str) -> bool:
+        wait_ms = WATCH_WAIT_MS if self.freshness.as_of is not None else 0
+        request = news.Watch(
+            self.registry.index, wait_ms, self.directory.version
+        )
+        sent_at = self.now()
+        timeout = wait_ms / 1000 + CALL_TIMEOUT_SECONDS
+        try:
+            answer: news.News = await self.peers.call(
+                source, news.WATCH, request, timeout
+            )
+        except errors.UnreachableError as error:
+            self.log.emit("source-unreachable", source=source, why=str(error))
+            return False
+        if answer.index < self.registry.index:
+            self.log.emit("source-behind", source=source, index=answer.index)
+            return False
+        self._take_in(answer, sent_at)
+        self.leader = answer.leader or self.leader
+        return 0 <= answer.age_ms <= MAX_SOURCE_AGE_SECONDS * 1000
+
+    def _take_in(self, answer: news.News, sent_at: float) -> None:
+        if answer.directory is not None:
+            if answer.directory.version > self.directory.version:
+                self.directory = answer.directory
+                self.carrier.vms = len(self.directory.entries)
+                self._set_cold_rates()
+        if answer.image is not None:
+            self.registry = registry.load(answer.image)
+            self._rebuild_table()
+            self._rebuild_pools()
+        elif answer.changes:
+            self._follow(answer.changes)
+        self.freshness.note(sent_at, answer.age_ms)
+
+    def _follow(self, changes: list[registry.Change]) -> None:
+        later = self.registry.follow(changes)
+        if any(change.written for change in later):
+            self._rebuild_table()
+        self._rebuild_pools()
+        if later:
+            self.log.emit_often("registry-in-force", index=self.registry.index)
+
+    def _rebuild_table(self) -> None:
+        self.table = tables.build(self.registry.items, self.table)
+        limited = [
+            name
+            for name, workspace in self.table.workspaces.items()
+            if workspace.rate > 0
+        ]
+        self.book.keep(limited, self.now())
+        self._renew_now.set()
+
+    def _rebuild_pools(self) -> None:
+        usable: dict[str, list[registry.Upstream]] = {
+            name: [] for name in self.table.services
+        }
+        for record in self.registry.upstreams.values():
+            if record.state != registry.SERVING:
+                continue
+            if record.failure_domain in self.registry.evacuated:
+                continue
+            if record.service in usable:
+                usable[record.service].append(record)
+        now = self.now()
+        settings = self.settings
+        for name, records in usable.items():
+            pool = self.pools.get(name)
+            if pool is None:
+                pool = self.pools[name] = steering.Pool(
+                    settings.region, settings.failure_domain, self.statistics
+                )
+            pool.update(records, settings.regions, now)
+        for name in self.pools.keys() - usable.keys():
+            self.pools[name].update([], settings.regions, now)
+        self._set_cold_rates()
+
+    def _set_cold_rates(self) -> None:
+        for name, pool in self.pools.items():
+            service = self.table.services.get(name)
+            rate = service.cold_rate if service is not None else 0.0
+            pool.cold_rate = rate / self.carrier.vms if rate > 0 else None
+
+    def _note_freshness(self) -> None:
+        is_fresh = self.is_fresh()
+        if is_fresh != self._was_fresh:
+            self._was_fresh = is_fresh
+            self.log.emit(
+                "settings-fresh" if is_fresh else "settings-stale",
+                age_ms=self.freshness.age_ms(self.now()),
+                index=self.registry.index,
+            )
+
+    # Shares of rates.
+
+    async def _renew(self) -> None:
+        while True:
+            is_done = await self._renew_once()
+            period = RENEW_SECONDS if is_done else RENEW_RETRY_SECONDS
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period):
+                    await self._renew_now.wait()
+            self._renew_now.clear()
+            # Demands that arrive together go out in one message.
+            await asyncio.sleep(URGENT_SECONDS)
+
+    async def _renew_once(self) -> bool:
+        sent_at = self.now()
+        asks = [
+            messages.Ask(
+                resource,
+                asked.held.rate,
+                asked.held.burst,
+                asked.demand,
+                asked.returned,
+                asked.wanted,
+            )
+            for resource, asked in self.book.requests(sent_at).items()
+        ]
+        answer = await self._call_leader(news.Renew(self.own, asks))
+        if answer is None:
+            return False
+        if answer.ttl_ms <= 0:
+            self.leader = answer.leader
+            return False
+        deadline = sent_at + answer.ttl_ms / 1000
+        now = self.now()
+        for share in answer.shares:
+            granted = leases.Share(share.rate, share.burst, share.tokens)
+            if self.book.renew(share.resource, granted, deadline, now):
+                # Others wait for what this VM no longer holds.
+                self._renew_now.set()
+        return True
+
+    async def _call_leader(self, request: news.Renew) -> messages.Lent | None:
+        if not self.leader:
+            return None
+        try:
+            answer: messages.Lent = await self.peers.call(
+                self.leader, news.RENEW, request, CALL_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError as error:
+            self.log.emit_often("leader-unreachable", why=str(error))
+            self.leader = ""
+            return None
+        return answer
+
+    # Calls.
+
+    async def serve(self, call: carrier.Call) -> carrier.Reply:
+        """Returns an upstream's answer to a call.
+
+        Raises:
+            RefusedError: The call was refused, or no upstream answered it.
+        """
+        self.in_flight += 1
+        try:
+            trip = self._admit(call)
+            await self._take_token(call, trip.deadline)
+            return await self.carrier.carry(trip)
+        except errors.RefusedError as error:
+            self._note_refusal(call, error.refusal)
+            raise
+        finally:
+            self.in_flight -= 1
+
+    def _admit(self, call: carrier.Call) -> carrier.Trip:
+        if self.registry.index == 0 or self.freshness.as_of is None:
+            raise errors.refuse(
+                errors.Kind.NOT_FRESH, "no settings are known yet"
+            )
+        entry = self.table.route(call.host, call.path)
+        if entry is None:
+            raise errors.refuse(
+                errors.Kind.NO_ROUTE, "no route takes this host and path"
+            )
+        route = entry.route
+        regions = frozenset(route.home_regions)
+        priority = route.priority
+        if self.table.is_keyed and not route.is_open:
+            workspace = self._check_key(call)
+            if workspace.priority is not None:
+                priority = workspace.priority
+            homes = frozenset(workspace.home_regions)
+            regions = _both(regions, homes)
+        deadline = min(call.deadline, call.arrived_at + route.timeout_seconds)
+        service = entry.next_service()
+        pool = self.pools.get(service)
+        if pool is None:
+            raise errors.refuse(errors.Kind.NO_ROOM, "no upstream serves")
+        return carrier.Trip(
+            call, entry, service, pool, deadline, regions, priority
+        )
+
+    def _check_key(self, call: carrier.Call) -> items.Workspace:
+        if not self.is_fresh():
+            raise errors.refuse(
+                errors.Kind.NOT_FRESH, "the settings are too old to check keys"
+            )
+        if call.key is None:
+            raise errors.refuse(errors.Kind.KEY_MISSING, "no key was given")
+        tenancy = self.table.keys.get(call.key)
+        if tenancy is None:
+            raise errors.refuse(errors.Kind.KEY_UNKNOWN, "the key is unknown")
+        call.workspace = tenancy.name
+        return tenancy.workspace
+
+    async def _take_token(self, call: carrier.Call, deadline: float) -> None:
+        workspace = self.table.workspaces.get(call.workspace)
+        if workspace is None or workspace.rate <= 0:
+            return
+        account = self.book.account(call.workspace, self.now())
+        account.demand.count += 1
+        if account.waiting == 0 and account.bucket.take(self.now()):
+            return
+        account.waiting += 1
+        self._renew_now.set()
+        try:
+            until = min(deadline, self.now() + TOKEN_WAIT_SECONDS)
+            while self.now() < until:
+                await asyncio.sleep(TOKEN_POLL_SECONDS)
+                if account.bucket.take(self.now()):
+                    return
+        finally:
+            account.waiting -= 1
+        if not account.is_lent(self.now()):
+            raise errors.refuse(
+                errors.Kind.NO_QUORUM, "no share of the rate is held"
+            )
+        raise errors.refuse(
+            errors.Kind.OVER_RATE,
+            "the workspace is over its rate",
+            retry_after=max(0.2, 1 / workspace.rate),
+        )
+
+    def _note_refusal(
+        self, call: carrier.Call, refusal: errors.Refusal
+    ) -> None:
+        now = self.now()
+        self.log.emit_often(
+            "refused",
+            request=call.id,
+            kind=refusal.kind.value,
+            why=refusal.detail,
+            executed=refusal.executed,
+            workspace=call.workspace or None,
+            held_seconds=now - call.arrived_at,
+            left_seconds=call.deadline - now,
+            settings_index=self.registry.index,
+            settings_age_ms=self.freshness.age_ms(now),
+        )
+
+
+def _both(route: frozenset[str], workspace: frozenset[str]) -> frozenset[str]:
+    """Returns the regions that both allow.
+
+    Raises:
+        RefusedError: No region is allowed by both.
+    """
+    if not route or not workspace:
+        return route or workspace
+    if not route & workspace:
+        raise errors.refuse(
+            errors.Kind.NO_ROOM, "no region may serve both route and workspace"
+        )
+    return route & workspace
--- a/src/pollenseam/errors.py
+++ b/src/pollenseam/errors.py
@@ -98,7 +98,7 @@
         kind: Kind,
         detail: str,
         executed: str | None = None,
-        retry_after: int | None = None,
+        retry_after: float | None = None,
     ) -> None:
         answer = ANSWERS[kind]
         self.kind = kind
@@ -142,7 +142,7 @@
     kind: Kind,
     detail: str,
     executed: str | None = None,
-    retry_after: int | None = None,
+    retry_after: float | None = None,
 ) -> RefusedError:
     """Returns an exception that carries a Refusal of `kind`."""
     return RefusedError(Refusal(kind, detail, executed, retry_after))
--- a/src/pollenseam/events.py
+++ b/src/pollenseam/events.py
@@ -1,5 +1,6 @@
 """Structured events: one key=value line each, ordered by a logical time."""
 
+import collections
 import json
 import sys
 import time
@@ -8,6 +9,8 @@
 import loguru
 
 MAX_VALUE_CHARACTERS = 1000
+# Lines of one event; more of them say how many were left out.
+MAX_LINES_PER_SECOND = 50
 
 
 class LogicalClock:
@@ -40,18 +43,37 @@
         clock: The process's logical clock.
     """
 
-    __slots__ = ("vm", "clock", "_logger")
+    __slots__ = ("vm", "clock", "_logger", "_second", "_counts")
 
     def __init__(self, vm: str, clock: LogicalClock, logger: Any) -> None:
         self.vm = vm
         self.clock = clock
         self._logger = logger
+        self._second = 0
+        self._counts: collections.Counter[str] = collections.Counter()
 
     def emit(self, event: str, **fields: object) -> None:
         """Writes one event; fields whose value is None are left out."""
         line = format_line(self.vm, self.clock.tick(), event, fields)
         self._logger.info(line)
 
+    def emit_often(self, event: str, **fields: object) -> None:
+        """Writes an event that load may repeat, up to a bound a second."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._say_dropped()
+        self._counts[event] += 1
+        if self._counts[event] <= MAX_LINES_PER_SECOND:
+            self.emit(event, **fields)
+
+    def _say_dropped(self) -> None:
+        for event, count in self._counts.items():
+            if count > MAX_LINES_PER_SECOND:
+                dropped = count - MAX_LINES_PER_SECOND
+                self.emit("lines-dropped", of=event, count=dropped)
+        self._counts.clear()
+
 
 def format_line(
     vm: str, logical: int, event: str, fields: dict[str, object]
@@ -95,10 +117,16 @@
     return pairs if "event" in pairs else {}
 
 
-def open_log(vm: str, path: str | None = None) -> EventLog:
-    """Returns the log of this process, on stderr or appended to a file."""
+def open_log(vm: str, path: str | None = None, stream: Any = None) -> EventLog:
+    """Returns the log of this process, on a stream or appended to a file.
+
+    Args:
+        vm: Name of the VM.
+        path: File to append to, if any.
+        stream: Stream to write to otherwise; stderr by default.
+    """
     logger = loguru.logger
     logger.remove()
-    sink: Any = path or sys.stderr
+    sink: Any = path or stream or sys.stderr
     logger.add(sink, format="{message}", level="INFO", catch=True)
     return EventLog(vm, LogicalClock(), logger)
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -13,6 +13,7 @@
 from pollenseam import errors
 from pollenseam import headers
 from pollenseam import lifecycles
+from pollenseam import sessions
 from pollenseam import shifts
 from pollenseam import traces
 from pollenseam import upstreams
@@ -22,8 +23,6 @@
 CHUNK_BYTES = 64 * 1024
 MAX_TRIES = 3
 TIMEOUT_BLAME_RATIO = 0.8
-CONNECT_SECONDS = 1.0
-KEEP_ALIVE_SECONDS = 10.0
 IDEMPOTENT_METHODS = frozenset(
     {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
 )
@@ -143,7 +142,7 @@
         self.admission = gate
         self.budgets: dict[str, upstreams.RetryBudget] = {}
         self.runs: dict[str, shifts.Run] = {}
-        self.session = open_session()
+        self.session = sessions.open_session()
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
@@ -405,34 +404,6 @@
     )
 
 
-def open_session() -> aiohttp.ClientSession:
-    """Returns a client session that adds nothing of its own."""
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=0,
-        keepalive_timeout=KEEP_ALIVE_SECONDS,
-        use_dns_cache=False,
-    )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=(
-            "User-Agent",
-            "Accept",
-            "Accept-Encoding",
-            "Content-Type",
-        ),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-        read_bufsize=CHUNK_BYTES,
-        trust_env=False,
-    )
-    # The library sends idempotent requests again on a closed connection;
-    # whether that is allowed is for the route to say (RFC 9110, 9.2.2).
-    session._retry_connection = False
-    return session
-
-
 def check_target(target: str) -> str:
     """Returns the decoded path of a request target.
 
--- a/src/pollenseam/journal.py
+++ b/src/pollenseam/journal.py
@@ -168,6 +168,19 @@
             self._segment_path(number).unlink()
         _sync_folder(self.folder)
 
+    def rewrite(self) -> None:
+        """Writes all segments that were read once more, and syncs them."""
+        for number in self._segment_numbers():
+            path = self._segment_path(number)
+            data = path.read_bytes()
+            file = os.open(path, os.O_WRONLY, FILE_MODE)
+            try:
+                _write_all(file, data)
+                os.fsync(file)
+            finally:
+                os.close(file)
+        _sync_folder(self.folder)
+
     def close(self) -> None:
         """Closes the open segment."""
         if self._file is not None:
--- a/src/pollenseam/state.py
+++ b/src/pollenseam/state.py
@@ -1,4 +1,4 @@
-"""The replicated state machine: settings tree, change ids and claims."""
+"""The replicated state machine: settings, change ids, claims, registry."""
 
 import collections
 import functools
@@ -9,6 +9,7 @@
 from pollenseam import claims
 from pollenseam import commands
 from pollenseam import errors
+from pollenseam import registry
 from pollenseam import settings
 from pollenseam import tree
 
@@ -33,6 +34,7 @@
         versions: Version of each path, removed ones included.
         changes: Remembered change ids, oldest first.
         claims: Claims as (workspace, key, claim), oldest first.
+        recorded: Items, upstreams and evacuations.
     """
 
     index: int
@@ -41,6 +43,7 @@
     versions: dict[str, int]
     changes: list[tuple[str, Memory]]
     claims: list[tuple[str, str, claims.Claim]]
+    recorded: registry.Image = msgspec.field(default_factory=registry.Image)
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -56,9 +59,10 @@
         tree: The settings tree, with keys and operators.
         changes: Remembered change ids, oldest first, bounded.
         ledger: At-most-once claims.
+        registry: Items, upstreams and evacuations.
     """
 
-    __slots__ = ("clock_ms", "tree", "changes", "ledger")
+    __slots__ = ("clock_ms", "tree", "changes", "ledger", "registry")
 
     def __init__(self) -> None:
         self.clock_ms = 0
@@ -67,6 +71,7 @@
             collections.OrderedDict()
         )
         self.ledger = claims.Ledger()
+        self.registry = registry.Registry()
 
     @property
     def index(self) -> int:
@@ -88,6 +93,7 @@
         self.clock_ms = other.clock_ms
         self.changes = other.changes
         self.ledger = other.ledger
+        self.registry = other.registry
         self.tree.replace(other.tree)
 
     def operator(self, token_digest: str) -> settings.Operator | None:
@@ -125,6 +131,7 @@
             self.tree.versions,
             list(self.changes.items()),
             [(*place, claim) for place, claim in ledger],
+            self.registry.image(),
         )
         return _encoder.encode(image)
 
@@ -140,6 +147,7 @@
     state.clock_ms = image.clock_ms
     state.tree = tree.whole(image.nodes, image.index, image.versions)
     state.changes.update(image.changes)
+    state.registry = registry.load(image.recorded)
     for workspace, key, claim in image.claims:
         state.ledger.claims[workspace, key] = claim
         state.ledger.counts[workspace] += 1
@@ -182,6 +190,27 @@
     return state.ledger.release(command)
 
 
+@carry_out.register
+def _(command: commands.PatchItems, state: State) -> commands.Outcome:
+    try:
+        state.registry.patch(state.index, command.written)
+    except errors.RefusedError as error:
+        return _refuse(error.refusal.kind, error.refusal.detail)
+    return commands.Outcome()
+
+
+@carry_out.register
+def _(command: commands.SetEvacuation, state: State) -> commands.Outcome:
+    state.registry.evacuate(state.index, command.failure_domain, command.is_on)
+    return commands.Outcome()
+
+
+@carry_out.register
+def _(command: commands.RecordUpstreams, state: State) -> commands.Outcome:
+    state.registry.record(state.index, state.clock_ms, command.records)
+    return commands.Outcome()
+
+
 @carry_out.register
 def _(command: commands.Change, state: State) -> commands.Outcome:
     operator = state.operator(command.token_digest)
