Rates: overdrafts within the tolerance, demand counted over 0.4 s

Cause: with eleven entry VMs a share of 12/s is one request a second and one token; arrivals at random find it empty, and a renewal 30 ms after one arrival reported 33/s.

--- a/src/pollenseam/buckets.py
+++ b/src/pollenseam/buckets.py
@@ -8,6 +8,9 @@
 MAX_RESOURCES = 4096
 RENEW_IDLE_SECONDS = 2.5
 IDLE_RATE = 0.05
+MIN_DEMAND_SECONDS = 0.4
+# A lender that has not answered for this long may have run out of tokens.
+INFORMED_SECONDS = 0.9
 
 
 class Lease:
@@ -124,7 +127,8 @@
     def update(self, now: float, weight: float) -> float:
         """Folds the arrivals since the last update in; returns the rate."""
         elapsed = now - self.since
-        if elapsed <= 0:
+        if elapsed < MIN_DEMAND_SECONDS:
+            # A few arrivals right after a renewal are no high rate.
             return self.rate
         recent = self.count / elapsed
         # A rise counts at once, a fall slowly: it is cheaper to hold a
@@ -146,22 +150,51 @@
         demand: How much it is asked for.
         waiting: Requests that wait for a token now.
         has_shrunk: Whether the lender has not heard of the last decrease.
+        overdraft: Tokens used beyond the share, not yet reported.
+        reported: Overdraft in a report that has not been answered.
+        overdraft_until: Time until which the lender allows overdrafts.
     """
 
-    __slots__ = ("bucket", "demand", "waiting", "has_shrunk")
+    __slots__ = (
+        "bucket",
+        "demand",
+        "waiting",
+        "has_shrunk",
+        "overdraft",
+        "reported",
+        "overdraft_until",
+    )
 
     def __init__(self, now: float) -> None:
         self.bucket = Bucket(now)
         self.demand = Demand(now)
         self.waiting = 0
         self.has_shrunk = False
+        self.overdraft = 0.0
+        self.reported = 0.0
+        self.overdraft_until = now
+
+    def take(self, most: float, now: float) -> bool:
+        """Takes a token of the share, or one beyond it while that is allowed.
+
+        Args:
+            most: Tokens beyond the share that the lender may not know of.
+            now: Time in seconds.
+        """
+        if self.bucket.take(now):
+            return True
+        is_known = self.is_lent(now) and now < self.overdraft_until
+        if not is_known or self.overdraft + self.reported + 1 > most:
+            return False
+        self.overdraft += 1
+        return True
 
     def is_due(self, now: float) -> bool:
         """Whether the lender should hear of it now."""
         lease = self.bucket.lease
         if lease is None or lease.deadline - now < RENEW_IDLE_SECONDS:
             return True
-        if self.has_shrunk or self.bucket.surplus > 0:
+        if self.has_shrunk or self.bucket.surplus > 0 or self.overdraft > 0:
             return True
         busy = self.demand.count > 0 or self.demand.rate > IDLE_RATE
         return busy or self.waiting > 0
@@ -173,7 +206,12 @@
         rate = self.demand.update(now, DEMAND_WEIGHT)
         wanted = max(0.0, self.waiting - bucket.tokens)
         self.has_shrunk = False
-        return leases.Request(held, rate, bucket.give_surplus(), wanted)
+        # A report that was lost may have been taken in: it counts twice then.
+        self.reported += self.overdraft
+        self.overdraft = 0.0
+        return leases.Request(
+            held, rate, bucket.give_surplus(), wanted, self.reported
+        )
 
     def is_lent(self, now: float) -> bool:
         """Whether any share of it is held now."""
@@ -235,4 +273,8 @@
         account.bucket.renew(share, deadline, now)
         shrunk = share.rate < before.rate or share.burst < before.burst
         account.has_shrunk = shrunk
+        account.reported = 0.0
+        account.overdraft_until = now
+        if not share.is_scarce:
+            account.overdraft_until = now + INFORMED_SECONDS
         return shrunk
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -32,6 +32,11 @@
 RETRY_SECONDS = 0.03
 # Whoever has not heard of the leader for this long refers others elsewhere.
 OUT_OF_TOUCH_SECONDS = 1.5
+# Most of what nobody demands stays with the lender, for overdrafts.
+IDLE_SPARE_RATIO = 0.2
+BUSY_SPARE_RATIO = 0.2
+# Part of what a rate may be overdrawn by that is lent.
+SPARE_RATIO = 0.4
 NO_LIMIT = leases.Whole(0.0, 0.0)
 
 _decode_outcome = msgspec.msgpack.Decoder(commands.Outcome).decode
@@ -49,6 +54,7 @@
         data_folder: Folder for durable state.
         may_found: Whether this is the first start of the whole fleet.
         announce_seconds: Time between two announcements of an upstream.
+        tolerance: How far a workspace's rate may be overdrawn.
     """
 
     __slots__ = (
@@ -60,6 +66,7 @@
         "data_folder",
         "may_found",
         "announce_seconds",
+        "tolerance",
     )
 
     def __init__(
@@ -72,6 +79,7 @@
         data_folder: pathlib.Path,
         may_found: bool,
         announce_seconds: float,
+        tolerance: leases.Tolerance,
     ) -> None:
         self.name = name
         self.region = region
@@ -81,6 +89,7 @@
         self.data_folder = data_folder
         self.may_found = may_found
         self.announce_seconds = announce_seconds
+        self.tolerance = tolerance
 
 
 class ControlVm:
@@ -592,6 +601,8 @@
             return messages.Lent(0, "", [], 0)
         holder = f"{request.entry.name}/{request.entry.started_ms}"
         lender = own.lending.lender
+        lender.idle_spare = IDLE_SPARE_RATIO
+        lender.busy_spare = BUSY_SPARE_RATIO
         if not request.entry.is_serving and not request.asks:
             lender.give_back(holder, now)
         shares = [self._lend(lender, holder, ask, now) for ask in request.asks]
@@ -608,9 +619,17 @@
         item = self.recorded.items.get((items.WORKSPACE, ask.resource))
         if item is not None and isinstance(item.body, items.Workspace):
             whole = leases.Whole(item.body.rate, item.body.burst)
+            spare = self.settings.tolerance.spare(whole)
+            whole.burst += SPARE_RATIO * spare
         held = leases.Whole(ask.held_rate, ask.held_burst)
-        wants = leases.Request(held, ask.demand, ask.returned, ask.wanted)
+        wants = leases.Request(
+            held, ask.demand, ask.returned, ask.wanted, ask.overdraft
+        )
         share = lender.lend(ask.resource, holder, wants, whole, now)
         return messages.Share(
-            ask.resource, share.rate, share.burst, share.tokens
+            ask.resource,
+            share.rate,
+            share.burst,
+            share.tokens,
+            share.is_scarce,
         )
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -31,6 +31,9 @@
 URGENT_SECONDS = 0.03
 TOKEN_WAIT_SECONDS = 0.25
 TOKEN_POLL_SECONDS = 0.01
+# Part of what a rate may be overdrawn by that entry VMs use unreported; the
+# lender hands out another part.
+OVERDRAFT_RATIO = 0.4
 
 
 class Settings:
@@ -47,6 +50,7 @@
         retry_ratio: Further sends per request, for all VMs together.
         retry_slack: Further sends per window, for all VMs together.
         retry_window_seconds: Length of that window.
+        tolerance: How far a workspace's rate may be overdrawn.
     """
 
     __slots__ = (
@@ -60,6 +64,7 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_seconds",
+        "tolerance",
     )
 
     def __init__(
@@ -74,6 +79,7 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
+        tolerance: leases.Tolerance,
     ) -> None:
         self.name = name
         self.region = region
@@ -85,6 +91,7 @@
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window_seconds = retry_window_seconds
+        self.tolerance = tolerance
 
 
 class EntryVm:
@@ -327,6 +334,7 @@
                 asked.demand,
                 asked.returned,
                 asked.wanted,
+                asked.overdraft,
             )
             for resource, asked in self.book.requests(sent_at).items()
         ]
@@ -339,7 +347,9 @@
         deadline = sent_at + answer.ttl_ms / 1000
         now = self.now()
         for share in answer.shares:
-            granted = leases.Share(share.rate, share.burst, share.tokens)
+            granted = leases.Share(
+                share.rate, share.burst, share.tokens, share.is_scarce
+            )
             if self.book.renew(share.resource, granted, deadline, now):
                 # Others wait for what this VM no longer holds.
                 self._renew_now.set()
@@ -424,7 +434,10 @@
             return
         account = self.book.account(call.workspace, self.now())
         account.demand.count += 1
-        if account.waiting == 0 and account.bucket.take(self.now()):
+        most = self._overdraft(workspace)
+        if account.waiting == 0 and account.take(most, self.now()):
+            if account.overdraft > 0:
+                self._renew_now.set()
             return
         account.waiting += 1
         self._renew_now.set()
@@ -432,7 +445,7 @@
             until = min(deadline, self.now() + TOKEN_WAIT_SECONDS)
             while self.now() < until:
                 await asyncio.sleep(TOKEN_POLL_SECONDS)
-                if account.bucket.take(self.now()):
+                if account.take(most, self.now()):
                     return
         finally:
             account.waiting -= 1
@@ -440,12 +453,21 @@
             raise errors.refuse(
                 errors.Kind.NO_QUORUM, "no share of the rate is held"
             )
+        share = account.bucket.held(self.now())
         raise errors.refuse(
             errors.Kind.OVER_RATE,
-            "the workspace is over its rate",
+            f"over the rate: {account.demand.rate:.3g}/s here, share "
+            f"{share.rate:.3g}/s and {share.burst:.3g} of "
+            f"{workspace.rate:g}/s and {workspace.burst:g}",
             retry_after=max(0.2, 1 / workspace.rate),
         )
 
+    def _overdraft(self, workspace: items.Workspace) -> float:
+        """Returns what may be used beyond a share before it is reported."""
+        whole = leases.Whole(workspace.rate, workspace.burst)
+        spare = self.settings.tolerance.spare(whole)
+        return max(1.0, OVERDRAFT_RATIO * spare / self.carrier.vms)
+
     def _note_refusal(
         self, call: carrier.Call, refusal: errors.Refusal
     ) -> None:
--- a/src/pollenseam/leases.py
+++ b/src/pollenseam/leases.py
@@ -13,6 +13,8 @@
 DRIFT_SECONDS = 0.5
 IDLE_SPARE_RATIO = 0.4
 BUSY_SPARE_RATIO = 0.4
+# Part of a burst below which the lender's pool allows no overdraft.
+SCARCE_RATIO = 0.05
 
 
 class Whole:
@@ -30,6 +32,30 @@
         self.burst = burst
 
 
+class Tolerance:
+    """How far a rate over the whole fleet may be overdrawn.
+
+    Attributes:
+        window_seconds: Window over which it must hold.
+        ratio: Part of what the window allows that may come on top.
+        count: Requests in a window that may come on top as well.
+    """
+
+    __slots__ = ("window_seconds", "ratio", "count")
+
+    def __init__(
+        self, window_seconds: float, ratio: float, count: float
+    ) -> None:
+        self.window_seconds = window_seconds
+        self.ratio = ratio
+        self.count = count
+
+    def spare(self, whole: Whole) -> float:
+        """Returns the requests by which a window may be overdrawn."""
+        allowed = whole.rate * self.window_seconds + whole.burst
+        return self.ratio * allowed + self.count
+
+
 class Request:
     """What a holder reports and wants.
 
@@ -38,9 +64,10 @@
         demand: Rate per second that it wants.
         returned: Tokens that it gives up for others.
         wanted: Tokens that it needs at once.
+        overdraft: Tokens that it used beyond its share.
     """
 
-    __slots__ = ("held", "demand", "returned", "wanted")
+    __slots__ = ("held", "demand", "returned", "wanted", "overdraft")
 
     def __init__(
         self,
@@ -48,11 +75,13 @@
         demand: float,
         returned: float = 0.0,
         wanted: float = 0.0,
+        overdraft: float = 0.0,
     ) -> None:
         self.held = held
         self.demand = demand
         self.returned = returned
         self.wanted = wanted
+        self.overdraft = overdraft
 
 
 class Share:
@@ -62,14 +91,22 @@
         rate: Per second.
         burst: Above the rate.
         tokens: Tokens handed over at once.
+        is_scarce: Whether the lender has no tokens for overdrafts.
     """
 
-    __slots__ = ("rate", "burst", "tokens")
+    __slots__ = ("rate", "burst", "tokens", "is_scarce")
 
-    def __init__(self, rate: float, burst: float, tokens: float = 0.0) -> None:
+    def __init__(
+        self,
+        rate: float,
+        burst: float,
+        tokens: float = 0.0,
+        is_scarce: bool = True,
+    ) -> None:
         self.rate = rate
         self.burst = burst
         self.tokens = tokens
+        self.is_scarce = is_scarce
 
 
 class Grant:
@@ -139,12 +176,21 @@
         learning_deadline: Time until which leases of an earlier lender may
             be in use; only reported ones are renewed until then.
         accounts: By resource.
+        idle_spare: Part of what nobody demands that goes out evenly.
+        busy_spare: Part of it that goes out by demand.
     """
 
-    __slots__ = ("learning_deadline", "accounts")
+    __slots__ = ("learning_deadline", "accounts", "idle_spare", "busy_spare")
 
-    def __init__(self, learning_deadline: float) -> None:
+    def __init__(
+        self,
+        learning_deadline: float,
+        idle_spare: float = IDLE_SPARE_RATIO,
+        busy_spare: float = BUSY_SPARE_RATIO,
+    ) -> None:
         self.learning_deadline = learning_deadline
+        self.idle_spare = idle_spare
+        self.busy_spare = busy_spare
         self.accounts: dict[str, Account] = {}
 
     def lend(
@@ -176,12 +222,14 @@
         account.grants[holder] = grant
         account.pool += max(0.0, request.returned)
         account.clip(whole)
-        share = _divide(account, holder, request, whole)
+        account.pool -= max(0.0, request.overdraft)
+        share = self._divide(account, holder, request, whole)
         # The answer may be lost: the holder may go on with what it held.
         grant.rate = max(share.rate, held.rate)
         grant.burst = max(share.burst, held.burst)
         account.pool -= share.tokens
         account.clip(whole)
+        share.is_scarce = account.pool < _least_pool(whole)
         return share
 
     def _renew(
@@ -193,8 +241,26 @@
         grant = Grant(held.rate, held.burst, request.demand, deadline)
         account.grants[holder] = grant
         account.filled_at = now
+        account.pool -= max(0.0, request.overdraft)
         return Share(held.rate, held.burst)
 
+    def _divide(
+        self, account: Account, holder: str, request: Request, whole: Whole
+    ) -> Share:
+        demands = {name: grant.demand for name, grant in account.grants.items()}
+        target = divide(demands, whole.rate, self.idle_spare, self.busy_spare)[
+            holder
+        ]
+        free = account.free(whole, holder)
+        rate = min(target, free.rate)
+        burst = whole.burst * target / whole.rate if whole.rate > 0 else 0.0
+        if whole.burst >= len(demands):
+            # A bucket that holds less than one token never lets one out.
+            burst = max(burst, 1.0)
+        tokens = min(request.wanted, account.pool)
+        burst = min(max(burst, tokens), free.burst)
+        return Share(rate, burst, max(0.0, min(tokens, burst)))
+
     def give_back(self, holder: str, now: float) -> None:
         """Forgets all leases of a holder that has stopped using them."""
         for account in self.accounts.values():
@@ -215,23 +281,17 @@
     return Whole(min(held.rate, known.rate), min(held.burst, known.burst))
 
 
-def _divide(
-    account: Account, holder: str, request: Request, whole: Whole
-) -> Share:
-    demands = {name: grant.demand for name, grant in account.grants.items()}
-    target = divide(demands, whole.rate)[holder]
-    free = account.free(whole, holder)
-    rate = min(target, free.rate)
-    burst = whole.burst * target / whole.rate if whole.rate > 0 else 0.0
-    if whole.burst >= len(demands):
-        # A bucket that holds less than one token never lets one out.
-        burst = max(burst, 1.0)
-    tokens = min(request.wanted, account.pool)
-    burst = min(max(burst, tokens), free.burst)
-    return Share(rate, burst, max(0.0, min(tokens, burst)))
+def _least_pool(whole: Whole) -> float:
+    """Returns the tokens that a lender keeps before it allows overdrafts."""
+    return max(1.0, SCARCE_RATIO * whole.burst)
 
 
-def divide(demands: Mapping[str, float], rate: float) -> dict[str, float]:
+def divide(
+    demands: Mapping[str, float],
+    rate: float,
+    idle_spare: float = IDLE_SPARE_RATIO,
+    busy_spare: float = BUSY_SPARE_RATIO,
+) -> dict[str, float]:
     """Divides a rate by demand, max-min fair, and lends out some spare.
 
     Where demand is below the rate, a part of the spare goes out evenly, so
@@ -249,6 +309,6 @@
     total = sum(shares.values())
     for name in shares:
         busy = shares[name] / total if total > 0 else 0.0
-        shares[name] += left * BUSY_SPARE_RATIO * busy
-        shares[name] += left * IDLE_SPARE_RATIO / len(shares)
+        shares[name] += left * busy_spare * busy
+        shares[name] += left * idle_spare / len(shares)
     return shares
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -209,6 +209,7 @@
         demand: Rate per second wanted.
         returned: Tokens given up for others.
         wanted: Tokens needed at once.
+        overdraft: Tokens used beyond the share.
     """
 
     resource: str
@@ -217,6 +218,7 @@
     demand: float
     returned: float = 0.0
     wanted: float = 0.0
+    overdraft: float = 0.0
 
 
 class Lend(msgspec.Struct, array_like=True):
@@ -228,12 +230,18 @@
 
 
 class Share(msgspec.Struct, array_like=True):
-    """What a holder may use of one resource."""
+    """What a holder may use of one resource.
+
+    Attributes:
+        tokens: Tokens handed over at once.
+        is_scarce: Whether nothing may be used beyond that.
+    """
 
     resource: str
     rate: float
     burst: float
     tokens: float = 0.0
+    is_scarce: bool = True
 
 
 class Lent(msgspec.Struct, array_like=True):
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -32,6 +32,8 @@
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+    # Keep-alive probes of many quiet connections are no abuse.
+    ("grpc.http2.max_ping_strikes", 0),
     ("grpc.use_local_subchannel_pool", 1),
     # One process may take a port that another is still leaving; sharing it
     # would split the calls between both.
