--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -243,7 +243,7 @@
         if answer.directory is not None:
             if answer.directory.version > self.directory.version:
                 self.directory = answer.directory
-                self.carrier.vms = len(self.directory.entries)
+                self.carrier.vms = max(1, len(self.directory.entries))
                 self._set_cold_rates()
         if answer.image is not None:
             self.registry = registry.load(answer.image)
--- a/src/pollenseam/tasks.py
+++ b/src/pollenseam/tasks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import traceback
 from collections.abc import Coroutine
 from typing import Any
 
@@ -31,7 +32,9 @@
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        self.log.emit("task-failed", reason=repr(task.exception()))
+        error = task.exception()
+        trace = traceback.format_exception(error)
+        self.log.emit("task-failed", reason=repr(error), trace="".join(trace))
         # A process with a part missing would answer wrongly; a fresh start
         # of the whole is the state that is tested.
         os._exit(FAILED_EXIT_CODE)
