--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -284,6 +284,7 @@
                 raise
             upstream = choice.upstream
             trip.tried.add(upstream.record.id)
+            upstream.take(self.now())
             upstream.in_flight += 1
             try:
                 reply = await self._try(trip, choice)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -244,7 +244,7 @@
             if answer.directory.version > self.directory.version:
                 self.directory = answer.directory
                 self.carrier.vms = max(1, len(self.directory.entries))
-                self._set_cold_rates()
+                self._share_cold()
         if answer.image is not None:
             self.registry = registry.load(answer.image)
             self._rebuild_table()
@@ -288,18 +288,23 @@
             pool = self.pools.get(name)
             if pool is None:
                 pool = self.pools[name] = steering.Pool(
-                    settings.region, settings.failure_domain, self.statistics
+                    settings.name,
+                    settings.region,
+                    settings.failure_domain,
+                    self.statistics,
                 )
             pool.update(records, settings.regions, now)
         for name in self.pools.keys() - usable.keys():
             self.pools[name].update([], settings.regions, now)
-        self._set_cold_rates()
+        self._share_cold()
 
-    def _set_cold_rates(self) -> None:
+    def _share_cold(self) -> None:
+        vms = {e.name: e.region for e in self.directory.entries}
+        vms = vms or {self.settings.name: self.settings.region}
         for name, pool in self.pools.items():
             service = self.table.services.get(name)
             rate = service.cold_rate if service is not None else 0.0
-            pool.cold_rate = rate / self.carrier.vms if rate > 0 else None
+            pool.share_cold(rate, vms)
 
     def _note_freshness(self) -> None:
         is_fresh = self.is_fresh()
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -38,6 +38,8 @@
 SUSPECT_SECONDS = 1.0
 MAX_SUSPECT_SECONDS = 8.0
 FULL_SECONDS = 0.1
+# VMs that send to a cold upstream: each may send one at the same moment.
+MAX_COLD_SENDERS = 3
 
 
 class Upstream:
@@ -56,6 +58,8 @@
         suspect_until: Time until which it only serves when no other can.
         full_until: Time until which it is held to be full, after a shed.
         cold_until: Time until which it is cold.
+        cold_rate: Requests per second that this VM may send it while it is
+            cold; None when there is no limit.
         cold_tokens: Requests that this VM may send it while it is cold.
         cold_filled_at: Time of the last fill of those.
         known: Objects that it served for this VM lately, oldest first.
@@ -74,6 +78,7 @@
         "suspect_until",
         "full_until",
         "cold_until",
+        "cold_rate",
         "cold_tokens",
         "cold_filled_at",
         "known",
@@ -95,6 +100,7 @@
         self.suspect_until = now
         self.full_until = now
         self.cold_until = now
+        self.cold_rate: float | None = None
         self.cold_tokens = 1.0
         self.cold_filled_at = now
         self.known: collections.OrderedDict[str, None] = (
@@ -166,15 +172,19 @@
         fade = _fade(now - self.judged_at, FAILURE_HALF_LIFE_SECONDS)
         return self.failure_ratio * fade
 
-    def take_cold(self, rate: float, now: float) -> bool:
-        """Takes a token for a send to it while it is cold."""
-        filled = self.cold_tokens + (now - self.cold_filled_at) * rate
-        self.cold_tokens = min(1.0, filled)
+    def admits(self, now: float) -> bool:
+        """Tells whether it is warm, or this VM has a token for it."""
+        if self.cold_until <= now or self.cold_rate is None:
+            return True
+        filled = (now - self.cold_filled_at) * self.cold_rate
+        self.cold_tokens = min(1.0, self.cold_tokens + filled)
         self.cold_filled_at = now
-        if self.cold_tokens < 1.0:
-            return False
-        self.cold_tokens -= 1.0
-        return True
+        return self.cold_rate > 0 and self.cold_tokens >= 1.0
+
+    def take(self, now: float) -> None:
+        """Takes the token that a send needs while it is cold."""
+        if self.cold_until > now and self.cold_rate is not None:
+            self.cold_tokens -= 1.0
 
 
 class Choice:
@@ -253,8 +263,10 @@
         domain: Failure domain of the VM.
         home_share: Part of this region's objects that its own upstreams
             have room for, when all regions ask for the same.
-        cold_rate: Requests per second that this VM may send to a cold one;
-            None when there is no limit.
+        cold_rate: Requests per second that a cold one tolerates from all
+            VMs; 0 when there is no limit.
+        vms: Entry VMs, with their regions.
+        name: Name of this VM.
         statistics: Expected work by route.
     """
 
@@ -264,19 +276,23 @@
         "domain",
         "home_share",
         "cold_rate",
+        "vms",
+        "name",
         "statistics",
         "_orders",
         "_next_id",
     )
 
     def __init__(
-        self, region: str, domain: str, statistics: Statistics
+        self, name: str, region: str, domain: str, statistics: Statistics
     ) -> None:
         self.upstreams: dict[str, Upstream] = {}
+        self.name = name
+        self.vms: dict[str, str] = {name: region}
         self.region = region
         self.domain = domain
         self.home_share = 1.0
-        self.cold_rate: float | None = None
+        self.cold_rate = 0.0
         self.statistics = statistics
         self._orders: dict[str, list[Upstream]] = {}
         self._next_id = 0
@@ -309,6 +325,37 @@
             self.upstreams[record.id] = known
         self.home_share = self._home_share(regions)
         self._orders.clear()
+        self.share_cold(self.cold_rate, self.vms)
+
+    def share_cold(self, rate: float, vms: dict[str, str]) -> None:
+        """Divides what cold upstreams tolerate between a few VMs each.
+
+        A few, because each may send one at once; the nearest, in an order
+        that all VMs know.
+
+        Args:
+            rate: Requests per second that each tolerates; 0 for no limit.
+            vms: Region of each entry VM.
+        """
+        self.cold_rate = rate
+        self.vms = vms
+        for upstream in self.upstreams.values():
+            upstream.cold_rate = self._cold_share(upstream)
+
+    def _cold_share(self, upstream: Upstream) -> float | None:
+        if self.cold_rate <= 0:
+            return None
+        order = sorted(
+            self.vms,
+            key=lambda name: (
+                self.vms[name] != upstream.region,
+                _unit(name.encode(), upstream.seed),
+            ),
+        )
+        senders = order[:MAX_COLD_SENDERS]
+        if self.name not in senders:
+            return 0.0
+        return self.cold_rate / len(senders)
 
     def _home_share(self, regions: Mapping[str, str]) -> float:
         domains = list(regions.values())
@@ -334,20 +381,11 @@
                 continue
             choice = self._weigh(upstream, rank, ask, now)
             cost = choice.seconds + self._penalty(upstream, rank, ask, now)
-            if cost < best_cost and self._admits(upstream, now):
+            if cost < best_cost and upstream.admits(now):
                 best = choice
                 best_cost = cost
-        if best is not None and best.upstream.cold_until > now:
-            if self.cold_rate is not None:
-                best.upstream.take_cold(self.cold_rate, now)
         return best
 
-    def _admits(self, upstream: Upstream, now: float) -> bool:
-        if upstream.cold_until <= now or self.cold_rate is None:
-            return True
-        filled = (now - upstream.cold_filled_at) * self.cold_rate
-        return upstream.cold_tokens + filled >= 1.0
-
     def _weigh(
         self, upstream: Upstream, rank: int, ask: Ask, now: float
     ) -> Choice:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,7 @@
 """The sum of all shares never exceeds a rate and a burst."""
 
+import random
+
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -192,3 +194,65 @@
     book.renew("r", leases.Share(RATE / 2, BURST), 16.0, 1.0)
     assert "r" in book.requests(1.1)
     assert book.requests(1.2) == {}
+
+
+def test_many_small_holders_are_not_refused_below_the_rate():
+    """The load of many callers over many VMs, each VM getting a trickle."""
+    generator = random.Random(3)
+    tolerance = leases.Tolerance(5.0, 0.1, 20.0)
+    rate = leases.Whole(12.0, 12.0)
+    spare = tolerance.spare(rate)
+    lent = leases.Whole(rate.rate, rate.burst + 0.4 * spare)
+    lender = leases.Lender(0.0, 0.2, 0.2)
+    holders = [f"v{n}" for n in range(11)]
+    books = {name: buckets.Account(0.0) for name in holders}
+    most = max(1.0, 0.4 * spare / len(holders))
+    served = refused = 0
+    for step in range(6000):
+        now = step / 100
+        name = holders[step % len(holders)]
+        account = books[name]
+        if step % 55 < 11 or account.overdraft > 0:
+            share = lender.lend("w", name, account.request(now), lent, now)
+            account.bucket.renew(share, now + 4.0, now)
+            account.reported = 0.0
+            if not share.is_scarce:
+                account.overdraft_until = now + buckets.INFORMED_SECONDS
+        if generator.random() < 12.0 / 1.6 / 100 and now > 5.0:
+            account.demand.count += 1
+            if account.take(most, now):
+                served += 1
+            else:
+                refused += 1
+    assert refused <= 0.02 * served
+
+
+def test_a_flood_stays_within_rate_burst_and_tolerance():
+    """The load of one workspace that sends many times its usual."""
+    tolerance = leases.Tolerance(5.0, 0.1, 20.0)
+    rate = leases.Whole(50.0, 50.0)
+    spare = tolerance.spare(rate)
+    lent = leases.Whole(rate.rate, rate.burst + 0.4 * spare)
+    lender = leases.Lender(0.0, 0.2, 0.2)
+    holders = [f"v{n}" for n in range(11)]
+    books = {name: buckets.Account(0.0) for name in holders}
+    most = max(1.0, 0.4 * spare / len(holders))
+    served = []
+    for step in range(4400):
+        now = step / 100
+        for place, name in enumerate(holders):
+            account = books[name]
+            if step % 10 == place % 10:
+                share = lender.lend("w", name, account.request(now), lent, now)
+                account.bucket.renew(share, now + 4.0, now)
+                account.reported = 0.0
+                account.overdraft_until = now
+                if not share.is_scarce:
+                    account.overdraft_until = now + buckets.INFORMED_SECONDS
+            if now > 10.0 and (step + place) % 3 == 0:
+                account.demand.count += 1
+                if account.take(most, now):
+                    served.append(now)
+    allowed = (50.0 * 5 + 50.0) * 1.1 + 20
+    worst = max(sum(t <= s < t + 5 for s in served) for t in range(10, 40))
+    assert worst <= allowed
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,143 @@
+"""Steering: objects stay where they are known; load, faults and cold count."""
+
+import collections
+
+from pollenseam import registry
+from pollenseam import steering
+
+REGIONS = {"a1": "a", "b1": "b", "c1": "c"}
+
+
+def record(id, domain="a1", born=1, slots=3, cold_ms=0, noted_ms=0):
+    return registry.Upstream(
+        id,
+        born,
+        1,
+        "s",
+        f"10.0.0.1:{id}",
+        domain,
+        slots,
+        registry.SERVING,
+        cold_ms,
+        noted_ms,
+    )
+
+
+def pool_of(counts, region="a", name="v0"):
+    pool = steering.Pool(name, region, f"{region}1", steering.Statistics())
+    records = [
+        record(f"{domain}-{n}", domain)
+        for domain, count in counts.items()
+        for n in range(count)
+    ]
+    pool.update(records, REGIONS, 0.0)
+    return pool
+
+
+def ask(object="7", regions=(), tried=()):
+    return steering.Ask("r1", object, regions, tried)
+
+
+def chosen(pool, now=0.0, **more):
+    choice = pool.choose(ask(**more), now)
+    return None if choice is None else choice.upstream.record.id
+
+
+def test_every_vm_prefers_the_same_upstream_for_an_object():
+    one = pool_of({"a1": 6})
+    other = pool_of({"a1": 6})
+    found = [chosen(one, object=str(n)) for n in range(60)]
+    assert found == [chosen(other, object=str(n)) for n in range(60)]
+    assert len(set(found)) == 6
+
+
+def test_losing_an_upstream_moves_only_its_objects():
+    pool = pool_of({"a1": 6})
+    before = {str(n): chosen(pool, object=str(n)) for n in range(60)}
+    lost = before["0"]
+    pool.update(
+        [u.record for i, u in pool.upstreams.items() if i != lost],
+        REGIONS,
+        1.0,
+    )
+    for object, upstream in before.items():
+        if upstream != lost:
+            assert chosen(pool, now=1.0, object=object) == upstream
+
+
+def test_a_region_with_few_upstreams_sends_the_rest_away_steadily():
+    pool = pool_of({"a1": 2, "b1": 8, "c1": 8})
+    counts = collections.Counter(
+        chosen(pool, object=str(n))[:2] for n in range(300)
+    )
+    assert 60 <= counts["a1"] <= 140
+    full = pool_of({"a1": 8, "b1": 2, "c1": 8})
+    assert {chosen(full, object=str(n))[:2] for n in range(100)} == {"a1"}
+
+
+def test_a_burst_on_one_object_spreads_within_its_region():
+    pool = pool_of({"a1": 4, "b1": 4, "c1": 4})
+    used = collections.Counter()
+    for _ in range(10):
+        upstream = pool.choose(ask(), 0.0).upstream
+        upstream.in_flight += 1
+        used[upstream.region] += 1
+        assert upstream.in_flight <= 2 * upstream.record.slots
+    assert used["a"] == 10
+
+
+def test_a_slow_upstream_is_left_and_comes_back():
+    pool = pool_of({"a1": 3})
+    first = pool.choose(ask(), 0.0).upstream
+    for _ in range(6):
+        first.succeed("7", 6.0, 0.5, 0.0)
+    assert chosen(pool) != first.record.id
+    first.known.clear()
+    assert chosen(pool, now=60.0) == first.record.id
+
+
+def test_a_grey_upstream_is_left():
+    pool = pool_of({"a1": 3})
+    first = pool.choose(ask(), 0.0).upstream
+    for _ in range(4):
+        first.err(0.0)
+    assert chosen(pool) != first.record.id
+
+
+def test_a_dead_upstream_serves_only_when_no_other_can():
+    pool = pool_of({"a1": 2})
+    first = pool.choose(ask(), 0.0).upstream
+    first.fail(0.0)
+    other = chosen(pool)
+    assert other != first.record.id
+    assert chosen(pool, tried={other}) == first.record.id
+
+
+def test_homes_and_tries_leave_nothing_else():
+    pool = pool_of({"a1": 1, "b1": 1})
+    assert chosen(pool, regions={"b"}) == "b1-0"
+    assert chosen(pool, regions={"b"}, tried={"b1-0"}) is None
+
+
+def test_a_cold_upstream_gets_no_more_than_its_rate_from_all_vms():
+    pools = [pool_of({"a1": 1}, name=f"v{n}") for n in range(11)]
+    for pool in pools:
+        cold = record("a1-0", born=2, cold_ms=3000)
+        pool.update([cold], REGIONS, 0.0)
+        pool.share_cold(3.0, {f"v{n}": "abc"[n % 3] for n in range(11)})
+    sent = []
+    for now in (n / 50 for n in range(150)):
+        for pool in pools:
+            choice = pool.choose(ask(), now)
+            if choice is not None:
+                choice.upstream.take(now)
+                sent.append(now)
+    worst = max(sum(t <= s < t + 1 for s in sent) for t in sent)
+    assert 3 <= worst <= 3.0 * 1.5 + 5.0
+
+
+def test_an_upstream_that_reports_a_queue_is_passed_over():
+    pool = pool_of({"a1": 2})
+    first = pool.choose(ask(), 0.0).upstream
+    first.report(3, 6, 0.0)
+    assert chosen(pool) != first.record.id
