A new leader lends as soon as no lease of the one before can be in use

Cause: after a cut of 6.6 s every lease had long ended, yet the new leader waited 4.5 s from its election before it lent anything; 205 requests of one window were refused for want of a share.

--- a/src/pollenseam/control.py
+++ b/src/pollenseam/control.py
@@ -339,7 +339,10 @@
             self._drop_pending("leadership was lost")
 
     def _start_leading(self, now: float) -> None:
-        ended = now + leases.LEASE_SECONDS + leases.DRIFT_SECONDS
+        # The leader before was confirmed by a majority, and one of it voted
+        # here: no lease counts from later than that voter heard of it.
+        heard_at = self.replica.quorum_heard_at
+        ended = heard_at + leases.LEASE_SECONDS + leases.DRIFT_SECONDS
         if self.replica.log.last_index <= 2 and self.state.index == 0:
             # Nobody can hold a lease of a fleet that has just been founded.
             ended = now
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -252,7 +252,7 @@
             term = own.replica.hard.term
             if term != self._led_term:
                 self._led_term = term
-                self.census.lead(term, self.recorded.upstreams.values(), now)
+                self._start_leading(term, now)
             self.census.hear_control(self.own)
             self.census.hear_upstreams(self.heard, now)
             self.heard.clear()
@@ -260,6 +260,13 @@
             self._record_lost(now)
             self._remove_obsolete(now)
 
+    def _start_leading(self, term: int, now: float) -> None:
+        self.census.lead(term, self.recorded.upstreams.values(), now)
+        lender = self.control.lending.lender
+        lender.idle_spare = IDLE_SPARE_RATIO
+        lender.busy_spare = BUSY_SPARE_RATIO
+        lender.unheard = {entry.name for entry in self.directory.entries}
+
     def _note_members(self) -> None:
         core = self.control.replica
         index = core.members_index
@@ -616,8 +623,6 @@
             return messages.Lent(0, "", [], 0)
         holder = f"{request.entry.name}/{request.entry.started_ms}"
         lender = own.lending.lender
-        lender.idle_spare = IDLE_SPARE_RATIO
-        lender.busy_spare = BUSY_SPARE_RATIO
         if not request.entry.is_serving and not request.asks:
             lender.give_back(holder, now)
         shares = [self._lend(lender, holder, ask, now) for ask in request.asks]
--- a/src/pollenseam/leases.py
+++ b/src/pollenseam/leases.py
@@ -175,12 +175,20 @@
     Attributes:
         learning_deadline: Time until which leases of an earlier lender may
             be in use; only reported ones are renewed until then.
+        unheard: Names of VMs that may hold leases of the lender before and
+            have not reported; learning ends once all have.
         accounts: By resource.
         idle_spare: Part of what nobody demands that goes out evenly.
         busy_spare: Part of it that goes out by demand.
     """
 
-    __slots__ = ("learning_deadline", "accounts", "idle_spare", "busy_spare")
+    __slots__ = (
+        "learning_deadline",
+        "unheard",
+        "accounts",
+        "idle_spare",
+        "busy_spare",
+    )
 
     def __init__(
         self,
@@ -191,6 +199,7 @@
         self.learning_deadline = learning_deadline
         self.idle_spare = idle_spare
         self.busy_spare = busy_spare
+        self.unheard: set[str] = set()
         self.accounts: dict[str, Account] = {}
 
     def lend(
@@ -232,6 +241,13 @@
         share.is_scarce = account.pool < _least_pool(whole)
         return share
 
+    def hear(self, name: str, now: float) -> None:
+        """Notes that a VM has reported all leases that it holds."""
+        if name in self.unheard:
+            self.unheard.discard(name)
+            if not self.unheard:
+                self.learning_deadline = min(self.learning_deadline, now)
+
     def _renew(
         self, account: Account, holder: str, request: Request, now: float
     ) -> Share:
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -56,12 +56,17 @@
 
 
 class VoteAnswer(Message, tag="va"):
-    """Answers a Vote; `term` is the one asked about when granted."""
+    """Answers a Vote; `term` is the one asked about when granted.
+
+    Attributes:
+        silence: Seconds since the voter last heard of a leader.
+    """
 
     term: int
     voter: str
     granted: bool
     pre: bool
+    silence: float = 0.0
 
 
 class Append(Message, tag="a"):
--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -42,6 +42,9 @@
         election_deadline: Time at which an election starts.
         heard_deadline: Time until which a vote is denied to others, because
             a leader was heard of.
+        heard_at: Time at which a leader was last heard of, or led here.
+        quorum_heard_at: Latest time at which any voter of this election can
+            have heard of the leader before.
         heartbeat_deadline: Leader's time of the next heartbeat.
         term_start: Index of the leader's first entry of its term.
         elected_at: Leader's time of its election.
@@ -66,6 +69,8 @@
         "synced_index",
         "election_deadline",
         "heard_deadline",
+        "heard_at",
+        "quorum_heard_at",
         "heartbeat_deadline",
         "term_start",
         "elected_at",
@@ -102,6 +107,9 @@
         self.applied = log.base_index
         self.synced_index = log.last_index
         self.heard_deadline = now + ELECTION_SECONDS
+        # What was heard before a restart is not known.
+        self.heard_at = now
+        self.quorum_heard_at = now
         self.heartbeat_deadline = now
         self.term_start = 0
         self.elected_at = now
@@ -330,6 +338,8 @@
             self.hard = quorumlog.HardState(term)
         if self.role == LEADER or leader:
             self._reset_election(now)
+        if self.role == LEADER:
+            self.heard_at = now
         self.role = FOLLOWER
         self.leader = leader
         self.progress = {}
@@ -343,6 +353,7 @@
         if not pre:
             self.hard = quorumlog.HardState(self.hard.term + 1, self.id)
         self.votes = {self.id: True}
+        self.quorum_heard_at = self.heard_at
         term = self.hard.term + 1 if pre else self.hard.term
         for voter in self.members.voters:
             if voter != self.id:
@@ -385,7 +396,8 @@
             self.hard = quorumlog.HardState(vote.term, vote.candidate)
             self._reset_election(now)
         term = vote.term if granted else self.hard.term
-        answer = messages.VoteAnswer(term, self.id, granted, vote.pre)
+        silence = now - self.heard_at
+        answer = messages.VoteAnswer(term, self.id, granted, vote.pre, silence)
         self._send(vote.candidate, answer)
 
     def _grants(self, vote: messages.Vote, now: float) -> bool:
@@ -610,6 +622,8 @@
     current = message.term == asked and message.pre == replica.pre
     if replica.role == CANDIDATE and current:
         replica.votes[message.voter] = True
+        heard_at = now - message.silence
+        replica.quorum_heard_at = max(replica.quorum_heard_at, heard_at)
         replica._count_votes(now)
 
 
@@ -622,6 +636,7 @@
         replica._follow(message.term, message.leader, now)
     replica._reset_election(now)
     replica.heard_deadline = now + ELECTION_SECONDS
+    replica.heard_at = now
     replica._accept(message, now)
 
 
@@ -641,6 +656,7 @@
     if message.term == replica.hard.term:
         replica._reset_election(now)
         replica.heard_deadline = now + ELECTION_SECONDS
+        replica.heard_at = now
 
 
 @handle.register
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -269,3 +269,17 @@
     allowed = (50.0 * 5 + 50.0) * 1.1 + 20
     worst = max(sum(t <= s < t + 5 for s in served) for t in range(10, 40))
     assert worst <= allowed
+
+
+def test_a_new_lender_lends_once_all_holders_have_reported():
+    lender = leases.Lender(104.5)
+    lender.unheard = {"a", "b"}
+    held = leases.Request(leases.Whole(4.0, 2.0), 4.0)
+    whole = leases.Whole(RATE, BURST)
+    assert lender.lend("w", "a/1", held, whole, 100.0).rate == 4.0
+    lender.hear("a", 100.0)
+    none = leases.Request(leases.Whole(0.0, 0.0), 9.0)
+    assert lender.lend("w", "b/1", none, whole, 100.1).rate == 0.0
+    lender.hear("b", 100.1)
+    assert lender.lend("w", "b/1", none, whole, 100.2).rate > 0.0
+    assert lender.total("w", 100.2).rate <= RATE
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -232,3 +232,18 @@
     )
     with pytest.raises(AssertionError):
         follower.core.receive(forged, cluster.now)
+
+
+def test_a_new_leader_knows_how_long_no_lease_can_have_been_given():
+    cluster = fakes.Cluster(["a", "b", "c"])
+    cluster.settle()
+    old = cluster.leader()
+    cut_at = cluster.now
+    for other in {"a", "b", "c"} - {old.id}:
+        cluster.cuts |= {(old.id, other), (other, old.id)}
+    while cluster.now < cut_at + 8.0:
+        cluster.step()
+    new = cluster.leader()
+    assert new.id != old.id
+    # The old leader was confirmed no later than this, and not much before.
+    assert cut_at - 1.0 <= new.core.quorum_heard_at <= cut_at + 0.2
