Objects are known by route, and wait where they will be known

Cause: an upstream knows an object per route (first send by another route took 0.82 s like any first one, again 0.28 s), the order and the memory went by the object alone; and while nothing was known yet, every busy moment spread an object to one more upstream (2 to 5 of them, 20 to 34 objects each).

--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,13 @@
 	$(BIN)/python examples/demo.py
 
 test: install
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto --dist worksteal
 
 lint: install
 	$(BIN)/ruff check .
 	$(BIN)/pyink --quiet --check .
 	$(BIN)/mypy
+	MYPYPATH=platform $(BIN)/mypy --strict --ignore-missing-imports platform/program.py
 
 format: install
 	$(BIN)/ruff check --fix .
--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -219,10 +219,17 @@
         self.reply: Reply | None = None
         self.refusal: errors.Refusal | None = None
 
+    @property
+    def object(self) -> str | None:
+        """What it concerns; upstreams know an object by route."""
+        if self.call.object is None:
+            return None
+        return f"{self.entry.name}/{self.call.object}"
+
     def ask(self) -> steering.Ask:
         """Returns what it needs of an upstream."""
         return steering.Ask(
-            self.entry.name, self.call.object, self.regions, self.tried
+            self.entry.name, self.object, self.regions, self.tried
         )
 
     def may_run(self) -> bool:
@@ -457,6 +464,7 @@
         trip.arrivals += 1
         trip.runs += 1
         if reply.status < 500:
+            self._note_served(trip, choice, reply.status, started)
             self._learn(trip, choice, now - started)
             return reply
         upstream.err(now)
@@ -478,12 +486,36 @@
         budget = self._budget(trip.service)
         return budget.has(self.vms, now)
 
+    def _note_served(
+        self, trip: Trip, choice: steering.Choice, status: int, started: float
+    ) -> None:
+        upstream = choice.upstream
+        object = trip.object
+        self.log.emit_often(
+            "served",
+            request=trip.call.id,
+            route=trip.entry.name,
+            service=trip.service,
+            upstream=upstream.record.id,
+            status=status,
+            rank=choice.rank,
+            object=object,
+            known=object in upstream.known,
+            seconds=self.now() - started,
+            expected_wait=choice.wait_seconds,
+            expected_work=choice.work_seconds,
+            load=upstream.load(self.now()),
+            held_seconds=self.now() - trip.call.arrived_at,
+            runs=trip.runs,
+            arrivals=trip.arrivals,
+        )
+
     def _learn(
         self, trip: Trip, choice: steering.Choice, seconds: float
     ) -> None:
         now = self.now()
         upstream = choice.upstream
-        object = trip.call.object
+        object = trip.object
         expected = choice.seconds
         if choice.wait_seconds == 0.0 and upstream.judged_slowness(now) < 1.5:
             is_known = object is not None and object in upstream.known
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -17,8 +17,9 @@
 
 # Work on an object that an upstream knows, as a part of the work on others.
 KNOWN_WORK_RATIO = 0.35
-# The first in an object's order, which other VMs may have taught it.
-FIRST_WORK_RATIO = 0.5
+# A send to an upstream that does not know the object makes it learn it, at
+# the cost of others that wait there.
+STRAY_COST_SECONDS = 0.8
 MAX_KNOWN = 48
 DEFAULT_WORK_SECONDS = 0.5
 REPORT_HALF_LIFE_SECONDS = 0.7
@@ -192,16 +193,22 @@
 
     Attributes:
         upstream: It.
+        rank: Its place in the order for the object.
         wait_seconds: Expected wait for a slot.
         work_seconds: Expected time at a slot, with travel.
     """
 
-    __slots__ = ("upstream", "wait_seconds", "work_seconds")
+    __slots__ = ("upstream", "rank", "wait_seconds", "work_seconds")
 
     def __init__(
-        self, upstream: Upstream, wait_seconds: float, work_seconds: float
+        self,
+        upstream: Upstream,
+        rank: int,
+        wait_seconds: float,
+        work_seconds: float,
     ) -> None:
         self.upstream = upstream
+        self.rank = rank
         self.wait_seconds = wait_seconds
         self.work_seconds = work_seconds
 
@@ -398,7 +405,7 @@
             travel = REGION_COST_SECONDS
         elif upstream.record.failure_domain != self.domain:
             travel = DOMAIN_COST_SECONDS
-        return Choice(upstream, wait, work + travel)
+        return Choice(upstream, rank, wait, work + travel)
 
     def expected(
         self, upstream: Upstream, ask: Ask, now: float, rank: int = 1
@@ -406,10 +413,9 @@
         """Returns the expected work of a request at an upstream."""
         work = self.statistics.work(ask.route)
         if ask.object is not None:
-            if ask.object in upstream.known:
+            # The first in the order is where other VMs send the object too.
+            if rank == 0 or ask.object in upstream.known:
                 work *= KNOWN_WORK_RATIO
-            elif rank == 0:
-                work *= FIRST_WORK_RATIO
         return work * upstream.judged_slowness(now)
 
     def _penalty(
@@ -422,6 +428,8 @@
             cost += 0.3
         if upstream.cold_until > now:
             cost += 1.0
+        if rank > 0 and ask.object not in upstream.known:
+            cost += STRAY_COST_SECONDS
         if rank > 0 and upstream.region != self.region:
             cost += OVERFLOW_COST_SECONDS
         return cost
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -141,3 +141,13 @@
     first = pool.choose(ask(), 0.0).upstream
     first.report(3, 6, 0.0)
     assert chosen(pool) != first.record.id
+
+
+def test_the_first_requests_for_an_object_wait_where_it_will_be_known():
+    """The load after a start: nothing is known anywhere, all are busy."""
+    pool = pool_of({"a1": 4})
+    first = pool.choose(ask(), 0.0).upstream
+    first.in_flight = first.record.slots + 1
+    assert chosen(pool) == first.record.id
+    first.in_flight = 6 * first.record.slots
+    assert chosen(pool) != first.record.id
