--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -39,6 +39,9 @@
 SUSPECT_SECONDS = 1.0
 MAX_SUSPECT_SECONDS = 8.0
 FULL_SECONDS = 0.1
+# Upstreams queue a few more than they have slots for, and shed the rest.
+FULL_LOAD_RATIO = 3.5
+FULL_COST_SECONDS = 2.0
 # VMs that send to a cold upstream: each may send one at the same moment.
 MAX_COLD_SENDERS = 3
 
@@ -426,6 +429,8 @@
             cost += 100.0
         if upstream.full_until > now:
             cost += 0.3
+        if upstream.load(now) >= FULL_LOAD_RATIO * upstream.record.slots:
+            cost += FULL_COST_SECONDS
         if upstream.cold_until > now:
             cost += 1.0
         if rank > 0 and ask.object not in upstream.known:
