--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -18,20 +18,16 @@
 from pollenseam import tables
 from pollenseam import vm
 
-CONNECT_SECONDS = 0.5
+CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 MAX_CONNECT_FAILURES = 3
-# An upstream that took this many times longer than expected, and this long
-# at least, is held to be silent.
-SILENT_RATIO = 3.0
-SILENT_SECONDS = 0.8
 MIN_RETRY_AFTER_SECONDS = 0.05
 # Part of the expected work that is surely needed.
 CERTAIN_WORK_RATIO = 0.6
-# Part of its time that a request may be expected to wait, by priority:
-# lower ones leave room for higher ones.
-WAIT_RATIOS = (1.0, 0.9, 0.6)
+# Time to an expected answer that is worth waiting, over the route's target, by
+# priority: lower ones leave room for higher ones.
+PATIENCE_RATIOS = (2.0, 1.8, 1.5)
 
 
 class Call:
@@ -228,8 +224,10 @@
 
     def ask(self) -> steering.Ask:
         """Returns what it needs of an upstream."""
+        rank = min(max(self.priority, 0), len(PATIENCE_RATIOS) - 1)
+        patience = PATIENCE_RATIOS[rank] * self.entry.route.target_seconds
         return steering.Ask(
-            self.entry.name, self.object, self.regions, self.tried
+            self.entry.name, self.object, self.regions, self.tried, patience
         )
 
     def may_run(self) -> bool:
@@ -291,12 +289,11 @@
                 raise
             upstream = choice.upstream
             trip.tried.add(upstream.record.id)
-            upstream.take(self.now())
-            upstream.in_flight += 1
+            send = upstream.begin(choice.seconds, self.now())
             try:
                 reply = await self._try(trip, choice)
             finally:
-                upstream.in_flight -= 1
+                upstream.end(send)
             if reply is not None:
                 return reply
 
@@ -316,11 +313,10 @@
         if choice is None:
             raise self._give_up(trip, "no upstream serves", 1.0)
         left = trip.deadline - now
-        ratio = WAIT_RATIOS[min(max(trip.priority, 0), len(WAIT_RATIOS) - 1)]
         work = choice.work_seconds * CERTAIN_WORK_RATIO
-        if choice.wait_seconds > left * ratio or work > left:
+        if choice.excess_seconds > 0 or choice.wait_seconds + work > left:
             raise self._give_up(
-                trip, "no upstream has room", choice.wait_seconds
+                trip, "no upstream has room", choice.excess_seconds
             )
         if trip.arrivals and not self._budget(trip.service).spend(
             self.vms, now
@@ -361,7 +357,7 @@
             )
             return None
         except TimeoutError:
-            self._judge_silence(choice, self.now() - started)
+            self._judge_silence(choice)
             self._note(trip, upstream, "no-answer-in-time", started, "")
             raise errors.refuse(
                 errors.Kind.DEADLINE, "no answer came in time", "unknown"
@@ -371,9 +367,8 @@
             self._break(trip, upstream, started, repr(error))
             return None
 
-    def _judge_silence(self, choice: steering.Choice, seconds: float) -> None:
-        expected = choice.seconds
-        if seconds > max(SILENT_SECONDS, SILENT_RATIO * expected):
+    def _judge_silence(self, choice: steering.Choice) -> None:
+        if choice.upstream.is_silent(self.now()):
             choice.upstream.fail(self.now())
 
     def _break(
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -36,9 +36,25 @@
 # An overflow into another region costs this much more than a planned one:
 # requests move between regions slowly.
 OVERFLOW_COST_SECONDS = 0.35
+SUSPECT_COST_SECONDS = 100.0
 SUSPECT_SECONDS = 1.0
 MAX_SUSPECT_SECONDS = 8.0
 FULL_SECONDS = 0.1
+# An upstream that has not answered anything for this long, and for this many
+# times the expected time, is held to be silent.
+SILENT_SECONDS = 0.8
+SILENT_RATIO = 2.5
+# After its start an upstream is taught what it will know.
+LEARNING_SECONDS = 8.0
+# Work on a cold upstream, over that on a warm one.
+COLD_WORK_RATIO = 2.0
+# Part of the sends of a short while that may leave their region for room.
+OVERFLOW_RATIO = 0.08
+OVERFLOW_WINDOW_SECONDS = 2.0
+# A wait that is always worth it.
+MIN_WAIT_SECONDS = 0.2
+# Load up to which an upstream takes objects that it does not know.
+STRAY_LOAD_RATIO = 0.67
 # Upstreams queue a few more than they have slots for, and shed the rest.
 FULL_LOAD_RATIO = 3.5
 FULL_COST_SECONDS = 2.0
@@ -46,6 +62,21 @@
 MAX_COLD_SENDERS = 3
 
 
+class Send:
+    """A send that has no answer yet.
+
+    Attributes:
+        started: Time of the send.
+        expected: Expected seconds to its answer.
+    """
+
+    __slots__ = ("started", "expected")
+
+    def __init__(self, started: float, expected: float) -> None:
+        self.started = started
+        self.expected = expected
+
+
 class Upstream:
     """One start of an upstream, and what this VM has learnt of it.
 
@@ -67,6 +98,9 @@
         cold_tokens: Requests that this VM may send it while it is cold.
         cold_filled_at: Time of the last fill of those.
         known: Objects that it served for this VM lately, oldest first.
+        seen_at: Time at which this VM first heard of it.
+        answered_at: Time of its last answer.
+        sends: Sends without an answer yet, oldest first.
     """
 
     __slots__ = (
@@ -86,6 +120,9 @@
         "cold_tokens",
         "cold_filled_at",
         "known",
+        "seen_at",
+        "answered_at",
+        "sends",
         "seed",
     )
 
@@ -110,6 +147,9 @@
         self.known: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self.seen_at = now
+        self.answered_at = now
+        self.sends: list[Send] = []
         self.seed = record.id.encode()
 
     def load(self, now: float) -> float:
@@ -129,6 +169,7 @@
     ) -> None:
         """Notes an answer and how long it took."""
         self.failures = 0
+        self.answered_at = now
         self.suspect_until = now
         self._decay(now)
         ratio = min(MAX_SLOWNESS, seconds / max(expected, 0.001))
@@ -142,6 +183,7 @@
 
     def shed(self, now: float) -> None:
         """Notes that it was full, or said so."""
+        self.answered_at = now
         self._decay(now)
         self.failure_ratio += (1 - self.failure_ratio) * FAILURE_WEIGHT
         self.full_until = now + FULL_SECONDS
@@ -149,13 +191,15 @@
     def err(self, now: float) -> None:
         """Notes an answer that is a failure."""
         self.failures = 0
+        self.answered_at = now
         self._decay(now)
         self.failure_ratio += (1 - self.failure_ratio) * FAILURE_WEIGHT
 
     def fail(self, now: float) -> None:
         """Notes that it could not be reached, or did not answer."""
+        failures = self.failures
         self.err(now)
-        self.failures += 1
+        self.failures = failures + 1
         seconds = SUSPECT_SECONDS * 2 ** min(self.failures - 1, 3)
         self.suspect_until = now + min(seconds, MAX_SUSPECT_SECONDS)
 
@@ -185,23 +229,55 @@
         self.cold_filled_at = now
         return self.cold_rate > 0 and self.cold_tokens >= 1.0
 
-    def take(self, now: float) -> None:
-        """Takes the token that a send needs while it is cold."""
+    def begin(self, expected: float, now: float) -> Send:
+        """Notes a send; pass what it returns to `end`.
+
+        Args:
+            expected: Expected seconds to its answer.
+            now: Time in seconds.
+        """
         if self.cold_until > now and self.cold_rate is not None:
             self.cold_tokens -= 1.0
+        send = Send(now, expected)
+        self.sends.append(send)
+        self.in_flight += 1
+        return send
+
+    def end(self, send: Send) -> None:
+        """Notes that a send has come to its end."""
+        self.sends.remove(send)
+        self.in_flight -= 1
+
+    def is_silent(self, now: float) -> bool:
+        """Tells whether it has been without any answer for too long."""
+        if not self.sends:
+            return False
+        oldest = self.sends[0]
+        silence = now - max(oldest.started, self.answered_at)
+        return silence > max(SILENT_SECONDS, SILENT_RATIO * oldest.expected)
 
 
 class Choice:
     """The upstream that a request should go to.
 
+    Its wait may be longer than the request has patience for; then it should
+    be refused, and may come back when that has passed.
+
     Attributes:
         upstream: It.
         rank: Its place in the order for the object.
         wait_seconds: Expected wait for a slot.
         work_seconds: Expected time at a slot, with travel.
+        excess_seconds: Expected wait beyond what is worth waiting.
     """
 
-    __slots__ = ("upstream", "rank", "wait_seconds", "work_seconds")
+    __slots__ = (
+        "upstream",
+        "rank",
+        "wait_seconds",
+        "work_seconds",
+        "excess_seconds",
+    )
 
     def __init__(
         self,
@@ -209,7 +285,9 @@
         rank: int,
         wait_seconds: float,
         work_seconds: float,
+        excess_seconds: float = 0.0,
     ) -> None:
+        self.excess_seconds = excess_seconds
         self.upstream = upstream
         self.rank = rank
         self.wait_seconds = wait_seconds
@@ -221,6 +299,16 @@
         return self.wait_seconds + self.work_seconds
 
 
+class _Weighed:
+    """A choice and what it costs; one without excess goes first."""
+
+    __slots__ = ("choice", "key")
+
+    def __init__(self, choice: Choice, cost: float) -> None:
+        self.choice = choice
+        self.key = (choice.excess_seconds > 0, cost)
+
+
 class Statistics:
     """Times to answer by route, smoothed: without known objects."""
 
@@ -247,9 +335,10 @@
         object: What it concerns, or None.
         regions: Regions that may serve it; all when empty.
         tried: Ids of upstreams that must not get it again.
+        patience: Seconds within which an answer should be expected.
     """
 
-    __slots__ = ("route", "object", "regions", "tried")
+    __slots__ = ("route", "object", "regions", "tried", "patience")
 
     def __init__(
         self,
@@ -257,7 +346,9 @@
         object: str | None,
         regions: Container[str],
         tried: Container[str],
+        patience: float = 1.0,
     ) -> None:
+        self.patience = patience
         self.route = route
         self.object = object
         self.regions = regions
@@ -278,6 +369,8 @@
         vms: Entry VMs, with their regions.
         name: Name of this VM.
         statistics: Expected work by route.
+        sends: Choices of the last OVERFLOW_WINDOW_SECONDS by time; True for
+            those that left their region for room.
     """
 
     __slots__ = (
@@ -289,6 +382,7 @@
         "vms",
         "name",
         "statistics",
+        "sends",
         "_orders",
         "_next_id",
     )
@@ -304,6 +398,7 @@
         self.home_share = 1.0
         self.cold_rate = 0.0
         self.statistics = statistics
+        self.sends: dict[float, bool] = {}
         self._orders: dict[str, list[Upstream]] = {}
         self._next_id = 0
 
@@ -381,20 +476,59 @@
         return min(1.0, own / slots / asking)
 
     def choose(self, ask: Ask, now: float) -> Choice | None:
-        """Returns the upstream with the earliest expected answer, if any."""
-        best: Choice | None = None
-        best_cost = float("inf")
-        for rank, upstream in enumerate(self._order(ask.object)):
+        """Returns the upstream with the earliest expected answer, if any.
+
+        One without excess goes first: where an upstream that does not know
+        the object has room, nobody is refused.
+        """
+        order = self._order(ask.object)
+        planned = order[0].region if order else ""
+        best: dict[bool, _Weighed] = {}
+        for rank, upstream in enumerate(order):
             if upstream.record.id in ask.tried:
                 continue
             if ask.regions and upstream.region not in ask.regions:
                 continue
+            if not upstream.admits(now):
+                continue
             choice = self._weigh(upstream, rank, ask, now)
-            cost = choice.seconds + self._penalty(upstream, rank, ask, now)
-            if cost < best_cost and upstream.admits(now):
-                best = choice
-                best_cost = cost
-        return best
+            penalty = self._penalty(upstream, rank, ask, now)
+            weighed = _Weighed(choice, choice.seconds + penalty)
+            is_planned = upstream.region == planned
+            known = best.get(is_planned)
+            if known is None or weighed.key < known.key:
+                best[is_planned] = weighed
+        return self._settle(best.get(True), best.get(False), now)
+
+    def _settle(
+        self,
+        planned: "_Weighed | None",
+        other: "_Weighed | None",
+        now: float,
+    ) -> Choice | None:
+        """Chooses between the best of the planned region and of the others.
+
+        Requests leave their region for room in small part only, so that they
+        come back in small part as well; if nothing else serves, all may.
+        """
+        if planned is None or other is None:
+            found = planned or other
+            return found.choice if found is not None else None
+        self._forget_sends(now)
+        if self._is_suspect(planned.choice.upstream, now):
+            return min(planned, other, key=lambda one: one.key).choice
+        most = OVERFLOW_RATIO * len(self.sends)
+        leaves = other.key < planned.key and sum(self.sends.values()) < most
+        self.sends[now] = leaves
+        return other.choice if leaves else planned.choice
+
+    def _forget_sends(self, now: float) -> None:
+        oldest = now - OVERFLOW_WINDOW_SECONDS
+        while self.sends and next(iter(self.sends)) < oldest:
+            del self.sends[next(iter(self.sends))]
+
+    def _is_suspect(self, upstream: Upstream, now: float) -> bool:
+        return upstream.suspect_until > now or upstream.is_silent(now)
 
     def _weigh(
         self, upstream: Upstream, rank: int, ask: Ask, now: float
@@ -408,7 +542,28 @@
             travel = REGION_COST_SECONDS
         elif upstream.record.failure_domain != self.domain:
             travel = DOMAIN_COST_SECONDS
-        return Choice(upstream, rank, wait, work + travel)
+        excess = self._excess(upstream, rank, ask, now, wait, work + travel)
+        return Choice(upstream, rank, wait, work + travel, excess)
+
+    def _excess(
+        self,
+        upstream: Upstream,
+        rank: int,
+        ask: Ask,
+        now: float,
+        wait: float,
+        work: float,
+    ) -> float:
+        """Returns how much longer a wait is than it is worth.
+
+        Waiting behind others is worth it while the answer is expected within
+        the patience. An upstream that does not know the object works on it
+        several times as long: it should have slots to spare.
+        """
+        if rank == 0 or ask.object is None or ask.object in upstream.known:
+            return max(0.0, wait - max(MIN_WAIT_SECONDS, ask.patience - work))
+        spare = STRAY_LOAD_RATIO * upstream.record.slots
+        return max(0.0, upstream.load(now) + 1 - spare) * work
 
     def expected(
         self, upstream: Upstream, ask: Ask, now: float, rank: int = 1
@@ -417,16 +572,19 @@
         work = self.statistics.work(ask.route)
         if ask.object is not None:
             # The first in the order is where other VMs send the object too.
-            if rank == 0 or ask.object in upstream.known:
+            is_taught = rank == 0 and now - upstream.seen_at > LEARNING_SECONDS
+            if is_taught or ask.object in upstream.known:
                 work *= KNOWN_WORK_RATIO
+        if upstream.cold_until > now:
+            work *= COLD_WORK_RATIO
         return work * upstream.judged_slowness(now)
 
     def _penalty(
         self, upstream: Upstream, rank: int, ask: Ask, now: float
     ) -> float:
         cost = upstream.judged_failures(now) * FAILURE_COST_SECONDS
-        if upstream.suspect_until > now:
-            cost += 100.0
+        if self._is_suspect(upstream, now):
+            cost += SUSPECT_COST_SECONDS
         if upstream.full_until > now:
             cost += 0.3
         if upstream.load(now) >= FULL_LOAD_RATIO * upstream.record.slots:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -131,7 +131,7 @@
         for pool in pools:
             choice = pool.choose(ask(), now)
             if choice is not None:
-                choice.upstream.take(now)
+                choice.upstream.begin(1.0, now)
                 sent.append(now)
     worst = max(sum(t <= s < t + 1 for s in sent) for t in sent)
     assert 3 <= worst <= 3.0 * 1.5 + 5.0
@@ -152,3 +152,46 @@
     assert chosen(pool) == first.record.id
     first.in_flight = 6 * first.record.slots
     assert chosen(pool) != first.record.id
+
+
+def test_a_region_short_of_room_sends_little_away_at_once():
+    """The load of a burst: own upstreams busy, other regions idle."""
+    pool = pool_of({"a1": 4, "b1": 8})
+    for upstream in pool.upstreams.values():
+        if upstream.region == "a":
+            upstream.report(3, 5, 0.0)
+            upstream.others = 100.0
+    now = 0.0
+    left = []
+    for number in range(400):
+        now += 0.01
+        choice = pool.choose(ask(object=str(number)), now)
+        for upstream in pool.upstreams.values():
+            if upstream.region == "a":
+                upstream.reported_at = now
+        left.append(choice.upstream.region == "b")
+    for start in range(100, 300, 20):
+        assert 0 < sum(left[start : start + 100]) <= 15
+
+
+def test_a_dead_region_is_left_at_once():
+    pool = pool_of({"a1": 2, "b1": 2})
+    for upstream in pool.upstreams.values():
+        if upstream.region == "a":
+            upstream.fail(0.0)
+    regions = {
+        pool.choose(ask(object=str(n)), 0.01 * n).upstream.region
+        for n in range(20)
+    }
+    assert regions == {"b"}
+
+
+def test_an_upstream_that_answers_nothing_is_left_before_the_timeout():
+    pool = pool_of({"a1": 3})
+    first = pool.choose(ask(), 0.0).upstream
+    send = first.begin(0.2, 0.0)
+    assert chosen(pool, now=0.5) == first.record.id
+    assert chosen(pool, now=1.0) != first.record.id
+    first.succeed("7", 1.0, 0.2, 1.0)
+    first.end(send)
+    assert not first.is_silent(1.0)
