--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -653,3 +653,19 @@
             share.tokens,
             share.is_scarce,
         )
+
+
+async def open_vm(
+    settings: Settings, log: events.EventLog, caller: peers.Peers
+) -> ControlVm:
+    """Returns a control VM, once its disk lets its folder be opened.
+
+    Raises:
+        DamagedError: The data folder is damaged.
+    """
+    while True:
+        try:
+            return ControlVm(settings, log, caller)
+        except OSError as error:
+            log.emit("disk-refuses", reason=str(error))
+            await asyncio.sleep(REOPEN_SECONDS)
--- a/src/pollenseam/joining.py
+++ b/src/pollenseam/joining.py
@@ -50,17 +50,23 @@
     async def run(self, replica: control.Control) -> None:
         """Returns once this replica knows a configuration that has it."""
         while not replica.failed and not replica.is_member:
-            answers = await self._probe_all()
-            members = self._founded(answers)
-            if members is not None:
-                await self._enter(replica, members)
-            elif self._founds(answers):
-                ids = {a: p.replica_id for a, p in answers.items()}
-                ids[self.own.address] = self.own.replica_id
-                found = {ids[address]: address for address in sorted(ids)}
-                self._keep(replica, messages.Members(found))
+            try:
+                await self._try(replica)
+            except OSError as error:
+                self.log.emit("disk-refuses", reason=str(error))
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _try(self, replica: control.Control) -> None:
+        answers = await self._probe_all()
+        members = self._founded(answers)
+        if members is not None:
+            await self._enter(replica, members)
+        elif self._founds(answers):
+            ids = {a: p.replica_id for a, p in answers.items()}
+            ids[self.own.address] = self.own.replica_id
+            found = {ids[address]: address for address in sorted(ids)}
+            self._keep(replica, messages.Members(found))
+
     def _founds(self, answers: dict[str, messages.ReplicaProbed]) -> bool:
         is_seed = self.own.address in self.seeds
         return (
