A whole tree that is fetched keeps the index of its last change

Cause of 'replay of all traces breaks no promise' in the demo: a VM that fetched all settings took the index it was at for the last change; its own log, once it had caught up, showed the true one, which is lower while nothing was written yet. The settings did not go back, the trace did. Ruled out: the replay's order, two processes in one trace (the start is on record).

--- a/src/pollenseam/follower.py
+++ b/src/pollenseam/follower.py
@@ -149,7 +149,8 @@
         if feed.index < own.tree.index:
             return
         if feed.nodes is not None:
-            own.tree.replace(tree.whole(feed.nodes, feed.index))
+            found = tree.whole(feed.nodes, feed.index, feed.changed_index)
+            own.tree.replace(found)
         elif feed.deltas is not None:
             own.tree.follow(feed.deltas, feed.index)
         own.note_settings()
@@ -174,7 +175,11 @@
         if deltas is not None and request.index > 0:
             return messages.Feed(own.tree.index, age_ms, 0, deltas=deltas)
         return messages.Feed(
-            own.tree.index, age_ms, 0, nodes=dict(own.tree.nodes)
+            own.tree.index,
+            age_ms,
+            0,
+            nodes=dict(own.tree.nodes),
+            changed_index=own.tree.changed_index,
         )
 
 
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -178,6 +178,7 @@
             the sender does not know it.
         deltas: Writes after the asked index; None when `nodes` is whole.
         nodes: The whole tree, when deltas would not do.
+        changed_index: Index of the last change in `nodes`.
     """
 
     index: int
@@ -185,6 +186,7 @@
     logical: int
     deltas: list[tree.Delta] | None = None
     nodes: dict[str, settings.AnyNode] | None = None
+    changed_index: int = 0
 
 
 class Submit(msgspec.Struct, array_like=True):
--- a/src/pollenseam/state.py
+++ b/src/pollenseam/state.py
@@ -145,7 +145,10 @@
     image = _decoder.decode(data)
     state = State()
     state.clock_ms = image.clock_ms
-    state.tree = tree.whole(image.nodes, image.index, image.versions)
+    changed_index = image.versions.get("/", 0)
+    state.tree = tree.whole(
+        image.nodes, image.index, changed_index, image.versions
+    )
     state.changes.update(image.changes)
     state.registry = registry.load(image.recorded)
     for workspace, key, claim in image.claims:
--- a/src/pollenseam/tree.py
+++ b/src/pollenseam/tree.py
@@ -128,12 +128,20 @@
 def whole(
     nodes: settings.Nodes,
     index: int,
+    changed_index: int,
     versions: dict[str, int] | None = None,
 ) -> Tree:
-    """Returns a tree that begins at `index` with no deltas before it."""
+    """Returns a tree that begins at `index` with no deltas before it.
+
+    Args:
+        nodes: Nodes by path.
+        index: Index that the tree is at.
+        changed_index: Index of its last change.
+        versions: Index of the last change by path, if known.
+    """
     tree = Tree()
     tree.index = index
-    tree.changed_index = index
+    tree.changed_index = changed_index
     tree.floor = index
     tree.nodes = nodes
     tree.versions = versions if versions is not None else {}
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -148,7 +148,10 @@
     def detach(self) -> None:
         """Follows other VMs, because the replica no longer hears a leader."""
         if self.is_attached:
-            self.tree = tree.whole(dict(self.tree.nodes), self.tree.index)
+            before = self.tree
+            self.tree = tree.whole(
+                dict(before.nodes), before.index, before.changed_index
+            )
             self.is_attached = False
 
     def note_settings(self) -> None:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -156,7 +156,7 @@
 
 
 def test_deltas_rebuild_the_tree_and_run_out_in_time(machine, monkeypatch):
-    copy = tree.whole({}, 0)
+    copy = tree.whole({}, 0, 0)
     assert copy.follow(machine.state.tree.since(0), machine.state.index)
     assert copy.nodes == machine.state.tree.nodes
     seen = machine.state.index
@@ -168,7 +168,7 @@
 
 
 def test_a_tree_never_goes_back(machine):
-    copy = tree.whole(dict(machine.state.tree.nodes), 50)
+    copy = tree.whole(dict(machine.state.tree.nodes), 50, 50)
     assert not copy.follow([], 49)
-    assert not copy.replace(tree.whole({}, 49))
+    assert not copy.replace(tree.whole({}, 49, 49))
     assert copy.index == 50
