--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -1,242 +1,28 @@
 """Carries an entry VM's requests to upstreams: tries, refusals, whole answers.
 
-How a request and its answer look on the wire is for a Dialect to say.
+How a request and its answer look on the wire is for a `trips.Dialect` to say.
 """
 
 import asyncio
-from typing import Protocol
 
 import aiohttp
-import multidict
 import yarl
 
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import observed
 from pollenseam import retries
 from pollenseam import sessions
 from pollenseam import steering
-from pollenseam import tables
+from pollenseam import trips
 from pollenseam import vm
 
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
-MAX_CONNECT_FAILURES = 3
 MIN_RETRY_AFTER_SECONDS = 0.05
 # Part of the expected work that is surely needed.
 CERTAIN_WORK_RATIO = 0.6
-# Time to an expected answer that is worth waiting, over the route's target, by
-# priority: lower ones leave room for higher ones.
-PATIENCE_RATIOS = (2.0, 1.8, 1.5)
-
-
-class Call:
-    """One request of a caller.
-
-    Attributes:
-        id: The caller's id of it.
-        method: Its method.
-        target: Path and query as sent.
-        host: Its host.
-        path: Its path.
-        headers: Headers that go on to the upstream.
-        body: Its whole body.
-        key: The caller's key, or None.
-        object: What it concerns, or None.
-        deadline: Time after which the caller no longer waits.
-        arrived_at: Time at which it was read.
-        workspace: Name of the key's workspace, or "".
-    """
-
-    __slots__ = (
-        "id",
-        "method",
-        "target",
-        "host",
-        "path",
-        "headers",
-        "body",
-        "key",
-        "object",
-        "deadline",
-        "arrived_at",
-        "workspace",
-    )
-
-    def __init__(
-        self,
-        id: str,
-        method: str,
-        target: str,
-        host: str,
-        path: str,
-        headers: multidict.CIMultiDict[str],
-        body: bytes,
-        key: str | None,
-        object: str | None,
-        deadline: float,
-        arrived_at: float,
-    ) -> None:
-        self.id = id
-        self.method = method
-        self.target = target
-        self.host = host
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.key = key
-        self.object = object
-        self.deadline = deadline
-        self.arrived_at = arrived_at
-        self.workspace = ""
-
-
-class Head:
-    """What an answer's head says.
-
-    Attributes:
-        is_not_run: Whether the upstream declared that it did not run it.
-        is_other: Whether another upstream has the address now.
-        is_own: Whether it is the upstream's answer to this very request.
-        running: Requests that the upstream runs, or -1 when it does not say.
-        waiting: Requests that wait there.
-    """
-
-    __slots__ = ("is_not_run", "is_other", "is_own", "running", "waiting")
-
-    def __init__(
-        self,
-        is_not_run: bool,
-        is_other: bool,
-        is_own: bool,
-        running: int = -1,
-        waiting: int = 0,
-    ) -> None:
-        self.is_not_run = is_not_run
-        self.is_other = is_other
-        self.is_own = is_own
-        self.running = running
-        self.waiting = waiting
-
-
-class Dialect(Protocol):
-    """How upstreams are spoken to."""
-
-    def request_headers(
-        self, call: Call, upstream: str, left_seconds: float
-    ) -> multidict.CIMultiDict[str]:
-        """Returns the headers of a send of `call` to an upstream."""
-
-    def read_head(self, call: Call, answer: aiohttp.ClientResponse) -> Head:
-        """Returns what an answer's head says."""
-
-
-class Reply:
-    """An upstream's whole answer.
-
-    Attributes:
-        status: Its status.
-        reason: Its reason phrase.
-        headers: Its headers.
-        body: Its whole body.
-    """
-
-    __slots__ = ("status", "reason", "headers", "body")
-
-    def __init__(
-        self,
-        status: int,
-        reason: str | None,
-        headers: multidict.CIMultiDictProxy[str],
-        body: bytes,
-    ) -> None:
-        self.status = status
-        self.reason = reason
-        self.headers = headers
-        self.body = body
-
-
-class Trip:
-    """One call on its way through its tries.
-
-    Attributes:
-        call: The call.
-        entry: Its route.
-        service: Name of the service that it goes to.
-        pool: Upstreams of that service.
-        deadline: Time by which it has its final answer.
-        regions: Regions that may serve it; all when empty.
-        priority: 0 goes first.
-        tried: Ids of upstreams that must not get it again.
-        arrivals: Sends that arrived at an upstream.
-        runs: Sends that may have run.
-        connect_failures: Sends that did not leave this VM.
-        reply: An upstream's failure that is passed on if no try does better.
-        refusal: What the last try came to, or None.
-    """
-
-    __slots__ = (
-        "call",
-        "entry",
-        "service",
-        "pool",
-        "deadline",
-        "regions",
-        "priority",
-        "tried",
-        "arrivals",
-        "runs",
-        "connect_failures",
-        "reply",
-        "refusal",
-    )
-
-    def __init__(
-        self,
-        call: Call,
-        entry: tables.Entry,
-        service: str,
-        pool: steering.Pool,
-        deadline: float,
-        regions: frozenset[str],
-        priority: int,
-    ) -> None:
-        self.call = call
-        self.entry = entry
-        self.service = service
-        self.pool = pool
-        self.deadline = deadline
-        self.regions = regions
-        self.priority = priority
-        self.tried: set[str] = set()
-        self.arrivals = 0
-        self.runs = 0
-        self.connect_failures = 0
-        self.reply: Reply | None = None
-        self.refusal: errors.Refusal | None = None
-
-    @property
-    def object(self) -> str | None:
-        """What it concerns; upstreams know an object by route."""
-        if self.call.object is None:
-            return None
-        return f"{self.entry.name}/{self.call.object}"
-
-    def ask(self) -> steering.Ask:
-        """Returns what it needs of an upstream."""
-        rank = min(max(self.priority, 0), len(PATIENCE_RATIOS) - 1)
-        patience = PATIENCE_RATIOS[rank] * self.entry.route.target_seconds
-        return steering.Ask(
-            self.entry.name, self.object, self.regions, self.tried, patience
-        )
-
-    def may_run(self) -> bool:
-        """Whether it may be sent to one more upstream."""
-        if self.connect_failures >= MAX_CONNECT_FAILURES:
-            return False
-        if self.runs and not self.entry.route.is_repeatable:
-            return False
-        return self.runs < self.entry.route.max_attempts
 
 
 class Carrier:
@@ -246,12 +32,12 @@
         dialect: How upstreams are spoken to.
         log: Event log.
         budgets: Further sends by service.
-            vms: Entry VMs that share the budgets.
+        vms: Entry VMs that share the budgets.
     """
 
     def __init__(
         self,
-        dialect: Dialect,
+        dialect: trips.Dialect,
         log: events.EventLog,
         retry_ratio: float,
         retry_slack: float,
@@ -273,7 +59,7 @@
         """Closes all connections to upstreams."""
         await self.session.close()
 
-    async def carry(self, trip: Trip) -> Reply:
+    async def carry(self, trip: trips.Trip) -> trips.Reply:
         """Returns an upstream's whole answer.
 
         Raises:
@@ -305,7 +91,7 @@
             )
         return budget
 
-    def _choose(self, trip: Trip) -> steering.Choice:
+    def _choose(self, trip: trips.Trip) -> steering.Choice:
         now = self.now()
         if trip.refusal is not None and not trip.may_run():
             raise errors.RefusedError(trip.refusal)
@@ -325,7 +111,7 @@
         return choice
 
     def _give_up(
-        self, trip: Trip, why: str, retry_after: float
+        self, trip: trips.Trip, why: str, retry_after: float
     ) -> errors.RefusedError:
         """Returns the best that can be said of a trip that ends."""
         if trip.refusal is not None and trip.runs:
@@ -337,7 +123,9 @@
             retry_after=max(MIN_RETRY_AFTER_SECONDS, retry_after),
         )
 
-    async def _try(self, trip: Trip, choice: steering.Choice) -> Reply | None:
+    async def _try(
+        self, trip: trips.Trip, choice: steering.Choice
+    ) -> trips.Reply | None:
         """Sends a call once; None when another upstream may get it."""
         upstream = choice.upstream
         started = self.now()
@@ -372,7 +160,11 @@
             choice.upstream.fail(self.now())
 
     def _break(
-        self, trip: Trip, upstream: steering.Upstream, started: float, why: str
+        self,
+        trip: trips.Trip,
+        upstream: observed.Upstream,
+        started: float,
+        why: str,
     ) -> None:
         """Notes a send that may have run and has no answer."""
         trip.arrivals += 1
@@ -383,7 +175,7 @@
         self._note(trip, upstream, "broken", started, why)
 
     async def _open(
-        self, trip: Trip, upstream: steering.Upstream
+        self, trip: trips.Trip, upstream: observed.Upstream
     ) -> aiohttp.ClientResponse:
         call = trip.call
         left = min(trip.deadline, call.deadline) - self.now()
@@ -399,16 +191,16 @@
 
     async def _take(
         self,
-        trip: Trip,
+        trip: trips.Trip,
         choice: steering.Choice,
         answer: aiohttp.ClientResponse,
         started: float,
-    ) -> Reply | None:
+    ) -> trips.Reply | None:
         upstream = choice.upstream
         is_whole = False
         try:
             head = self.dialect.read_head(trip.call, answer)
-            body = await answer.read()
+            body = await _read(answer)
             is_whole = head.is_own or head.is_not_run
         finally:
             # A connection with an answer under way is never used again.
@@ -433,11 +225,15 @@
             upstream.err(now)
             self._break(trip, upstream, started, "a foreign answer")
             return None
-        reply = Reply(answer.status, answer.reason, answer.headers, body)
+        reply = trips.Reply(answer.status, answer.reason, answer.headers, body)
         return self._judge(trip, choice, reply, started)
 
     def _pass_by(
-        self, trip: Trip, upstream: steering.Upstream, what: str, started: float
+        self,
+        trip: trips.Trip,
+        upstream: observed.Upstream,
+        what: str,
+        started: float,
     ) -> None:
         """Notes a send that the upstream declared as not run."""
         trip.arrivals += 1
@@ -449,11 +245,11 @@
 
     def _judge(
         self,
-        trip: Trip,
+        trip: trips.Trip,
         choice: steering.Choice,
-        reply: Reply,
+        reply: trips.Reply,
         started: float,
-    ) -> Reply | None:
+    ) -> trips.Reply | None:
         now = self.now()
         upstream = choice.upstream
         trip.arrivals += 1
@@ -473,7 +269,7 @@
         )
         return None
 
-    def _is_worth(self, trip: Trip, now: float) -> bool:
+    def _is_worth(self, trip: trips.Trip, now: float) -> bool:
         """Tells whether another try has time and an upstream."""
         choice = trip.pool.choose(trip.ask(), now)
         if choice is None or now + choice.seconds > trip.deadline:
@@ -482,7 +278,11 @@
         return budget.has(self.vms, now)
 
     def _note_served(
-        self, trip: Trip, choice: steering.Choice, status: int, started: float
+        self,
+        trip: trips.Trip,
+        choice: steering.Choice,
+        status: int,
+        started: float,
     ) -> None:
         upstream = choice.upstream
         object = trip.object
@@ -506,7 +306,7 @@
         )
 
     def _learn(
-        self, trip: Trip, choice: steering.Choice, seconds: float
+        self, trip: trips.Trip, choice: steering.Choice, seconds: float
     ) -> None:
         now = self.now()
         upstream = choice.upstream
@@ -521,8 +321,8 @@
 
     def _note(
         self,
-        trip: Trip,
-        upstream: steering.Upstream,
+        trip: trips.Trip,
+        upstream: observed.Upstream,
         outcome: str,
         started: float,
         why: str,
@@ -540,3 +340,17 @@
             arrivals=trip.arrivals,
             why=why or None,
         )
+
+
+async def _read(answer: aiohttp.ClientResponse) -> bytes:
+    """Returns an answer's whole body.
+
+    Raises:
+        ValueError: It is larger than an answer may be.
+    """
+    body = bytearray()
+    async for chunk in answer.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise ValueError(f"the answer is over {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -20,6 +20,7 @@
 from pollenseam import messages
 from pollenseam import news
 from pollenseam import peers
+from pollenseam import proposer
 from pollenseam import registry
 from pollenseam import tasks
 from pollenseam import vm
@@ -29,7 +30,6 @@
 CALL_TIMEOUT_SECONDS = 0.8
 MAX_WAIT_MS = 2000
 REOPEN_SECONDS = 0.3
-RETRY_SECONDS = 0.03
 # Whoever has not heard of the leader for this long refers others elsewhere.
 OUT_OF_TOUCH_SECONDS = 1.5
 # Most of what nobody demands stays with the lender, for overdrafts.
@@ -39,8 +39,6 @@
 SPARE_RATIO = 0.4
 NO_LIMIT = leases.Whole(0.0, 0.0)
 
-_decode_outcome = msgspec.msgpack.Decoder(commands.Outcome).decode
-
 
 class Settings:
     """What a control VM is told at its start.
@@ -100,6 +98,7 @@
         log: Event log.
         peers: Calls to other VMs.
         control: The replica's shell; replaced when its disk failed.
+        proposer: Brings commands to the leader.
         census: Who is alive.
         freshness: Age of the replica's state.
         heard: Upstreams heard of that the leader does not know of yet.
@@ -119,6 +118,9 @@
         self.changed = asyncio.Event()
         self.server = peers.Server(log.clock, caller.traffic)
         self.control = self._open()
+        self.proposer = proposer.Proposer(
+            lambda: self.control, caller, self.now
+        )
         self._tasks = tasks.Group(log)
         self._index = 0
         self._led_term = 0
@@ -370,45 +372,6 @@
 
     # Operators and upstreams.
 
-    async def submit(
-        self, command: commands.Command, deadline: float
-    ) -> commands.Outcome:
-        """Carries a command through the log, here or at the leader.
-
-        The command may be handed in more than once.
-
-        Raises:
-            UnreachableError: The outcome is not known by `deadline`.
-        """
-        data = commands.encode(command)
-        while self.now() < deadline:
-            outcome = await self._try_submit(command, data, deadline)
-            if outcome is not None:
-                return outcome
-            await asyncio.sleep(RETRY_SECONDS)
-        raise errors.UnreachableError("no leader decided in time")
-
-    async def _try_submit(
-        self, command: commands.Command, data: bytes, deadline: float
-    ) -> commands.Outcome | None:
-        own = self.control
-        left = max(0.01, deadline - self.now())
-        if own.is_leader:
-            with contextlib.suppress(errors.NotLeaderError, TimeoutError):
-                async with asyncio.timeout(left):
-                    return await own.submit(command)
-            return None
-        if not own.leader_address:
-            return None
-        request = messages.Submit(data, 0, 0)
-        with contextlib.suppress(errors.UnreachableError):
-            answer: messages.Submitted = await self.peers.call(
-                own.leader_address, peers.SUBMIT, request, left
-            )
-            if not answer.kind:
-                return _decode_outcome(answer.outcome)
-        return None
-
     async def patch(self, patch: list[items.Item], deadline: float) -> None:
         """Puts items in force.
 
@@ -416,7 +379,9 @@
             RefusedError: The patch is not valid.
             UnreachableError: The outcome is not known by `deadline`.
         """
-        outcome = await self.submit(commands.PatchItems(patch), deadline)
+        outcome = await self.proposer.submit(
+            commands.PatchItems(patch), deadline
+        )
         if outcome.kind:
             raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
 
@@ -429,7 +394,7 @@
             UnreachableError: The outcome is not known by `deadline`.
         """
         command = commands.SetEvacuation(failure_domain, is_on)
-        await self.submit(command, deadline)
+        await self.proposer.submit(command, deadline)
 
     async def announce(
         self, record: registry.Upstream, deadline: float
@@ -441,7 +406,9 @@
                 sign of life would not reach the leader.
         """
         if self.recorded.is_news(record):
-            await self.submit(commands.RecordUpstreams([record]), deadline)
+            await self.proposer.submit(
+                commands.RecordUpstreams([record]), deadline
+            )
             self.log.emit(
                 "upstream",
                 id=record.id,
@@ -463,7 +430,7 @@
         """
         known = self.recorded.upstreams.get(id)
         if known is None:
-            await self.barrier(deadline)
+            await self.proposer.barrier(deadline)
             known = self.recorded.upstreams.get(id)
         if known is None or known.state == registry.GONE:
             return
@@ -472,7 +439,7 @@
         record = msgspec.structs.replace(
             known, state=registry.GONE, sequence=known.sequence + 1
         )
-        await self.submit(commands.RecordUpstreams([record]), deadline)
+        await self.proposer.submit(commands.RecordUpstreams([record]), deadline)
         self.log.emit("upstream", id=id, state=record.state)
 
     async def read(self, deadline: float) -> registry.Image:
@@ -481,42 +448,9 @@
         Raises:
             UnreachableError: No leader confirmed by `deadline`.
         """
-        await self.barrier(deadline)
+        await self.proposer.barrier(deadline)
         return self.recorded.image()
 
-    async def barrier(self, deadline: float) -> None:
-        """Waits until this replica has all changes acknowledged before.
-
-        Raises:
-            UnreachableError: No leader confirmed by `deadline`.
-        """
-        index = -1
-        while index < 0 and self.now() < deadline:
-            index = await self._confirmed_index(deadline)
-            if index < 0:
-                await asyncio.sleep(RETRY_SECONDS)
-        while index < 0 or self.control.state.index < index:
-            if self.now() >= deadline:
-                raise errors.UnreachableError("no leader confirmed in time")
-            await asyncio.sleep(0.01)
-
-    async def _confirmed_index(self, deadline: float) -> int:
-        own = self.control
-        if own.is_leader:
-            with contextlib.suppress(errors.NotLeaderError):
-                await own.read_barrier(deadline)
-                return own.state.index
-            return -1
-        if not own.leader_address:
-            return -1
-        left = max(0.01, deadline - self.now())
-        with contextlib.suppress(errors.UnreachableError):
-            answer: messages.ReadAt = await self.peers.call(
-                own.leader_address, peers.READ, messages.ReadIndex(0), left
-            )
-            return answer.index
-        return -1
-
     # Answers to other VMs.
 
     def _deliver(self, batch: messages.Batch) -> None:
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -18,6 +18,7 @@
 from pollenseam import steering
 from pollenseam import tables
 from pollenseam import tasks
+from pollenseam import trips
 from pollenseam import vm
 
 WATCH_WAIT_MS = 1000
@@ -117,7 +118,7 @@
         settings: Settings,
         log: events.EventLog,
         caller: peers.Peers,
-        dialect: carrier.Dialect,
+        dialect: trips.Dialect,
     ) -> None:
         self.settings = settings
         self.log = log
@@ -375,7 +376,7 @@
 
     # Calls.
 
-    async def serve(self, call: carrier.Call) -> carrier.Reply:
+    async def serve(self, call: trips.Call) -> trips.Reply:
         """Returns an upstream's answer to a call.
 
         Raises:
@@ -392,7 +393,7 @@
         finally:
             self.in_flight -= 1
 
-    def _admit(self, call: carrier.Call) -> carrier.Trip:
+    def _admit(self, call: trips.Call) -> trips.Trip:
         if self.registry.index == 0 or self.freshness.as_of is None:
             raise errors.refuse(
                 errors.Kind.NOT_FRESH, "no settings are known yet"
@@ -416,11 +417,11 @@
         pool = self.pools.get(service)
         if pool is None:
             raise errors.refuse(errors.Kind.NO_ROOM, "no upstream serves")
-        return carrier.Trip(
+        return trips.Trip(
             call, entry, service, pool, deadline, regions, priority
         )
 
-    def _check_key(self, call: carrier.Call) -> items.Workspace:
+    def _check_key(self, call: trips.Call) -> items.Workspace:
         if not self.is_fresh():
             raise errors.refuse(
                 errors.Kind.NOT_FRESH, "the settings are too old to check keys"
@@ -433,7 +434,7 @@
         call.workspace = tenancy.name
         return tenancy.workspace
 
-    async def _take_token(self, call: carrier.Call, deadline: float) -> None:
+    async def _take_token(self, call: trips.Call, deadline: float) -> None:
         workspace = self.table.workspaces.get(call.workspace)
         if workspace is None or workspace.rate <= 0:
             return
@@ -473,9 +474,7 @@
         spare = self.settings.tolerance.spare(whole)
         return max(1.0, OVERDRAFT_RATIO * spare / self.carrier.vms)
 
-    def _note_refusal(
-        self, call: carrier.Call, refusal: errors.Refusal
-    ) -> None:
+    def _note_refusal(self, call: trips.Call, refusal: errors.Refusal) -> None:
         now = self.now()
         self.log.emit_often(
             "refused",
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -7,12 +7,12 @@
 shorter where the object is known.
 """
 
-import collections
 import hashlib
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from pollenseam import observed
 from pollenseam import registry
 
 # Work on an object that an upstream knows, as a part of the work on others.
@@ -20,16 +20,8 @@
 # A send to an upstream that does not know the object makes it learn it, at
 # the cost of others that wait there.
 STRAY_COST_SECONDS = 0.8
-MAX_KNOWN = 48
 DEFAULT_WORK_SECONDS = 0.5
-REPORT_HALF_LIFE_SECONDS = 0.7
 STATISTIC_WEIGHT = 0.1
-SLOWNESS_WEIGHT = 0.25
-SLOWNESS_HALF_LIFE_SECONDS = 3.0
-MIN_SLOWNESS = 0.5
-MAX_SLOWNESS = 20.0
-FAILURE_WEIGHT = 0.2
-FAILURE_HALF_LIFE_SECONDS = 3.0
 FAILURE_COST_SECONDS = 2.0
 REGION_COST_SECONDS = 0.1
 DOMAIN_COST_SECONDS = 0.002
@@ -37,13 +29,6 @@
 # requests move between regions slowly.
 OVERFLOW_COST_SECONDS = 0.35
 SUSPECT_COST_SECONDS = 100.0
-SUSPECT_SECONDS = 1.0
-MAX_SUSPECT_SECONDS = 8.0
-FULL_SECONDS = 0.1
-# An upstream that has not answered anything for this long, and for this many
-# times the expected time, is held to be silent.
-SILENT_SECONDS = 0.8
-SILENT_RATIO = 2.5
 # After its start an upstream is taught what it will know.
 LEARNING_SECONDS = 8.0
 # Work on a cold upstream, over that on a warm one.
@@ -62,201 +47,6 @@
 MAX_COLD_SENDERS = 3
 
 
-class Send:
-    """A send that has no answer yet.
-
-    Attributes:
-        started: Time of the send.
-        expected: Expected seconds to its answer.
-    """
-
-    __slots__ = ("started", "expected")
-
-    def __init__(self, started: float, expected: float) -> None:
-        self.started = started
-        self.expected = expected
-
-
-class Upstream:
-    """One start of an upstream, and what this VM has learnt of it.
-
-    Attributes:
-        record: As the registry has it.
-        region: Its region.
-        in_flight: Requests that this VM has running on it.
-        others: Requests of other VMs that its last report implied.
-        reported_at: Time of that report.
-        slowness: Observed over expected time to answer, smoothed.
-        failure_ratio: Smoothed share of failures and sheds.
-        judged_at: Time of the last change of the two.
-        failures: Failures to connect or to answer, in a row.
-        suspect_until: Time until which it only serves when no other can.
-        full_until: Time until which it is held to be full, after a shed.
-        cold_until: Time until which it is cold.
-        cold_rate: Requests per second that this VM may send it while it is
-            cold; None when there is no limit.
-        cold_tokens: Requests that this VM may send it while it is cold.
-        cold_filled_at: Time of the last fill of those.
-        known: Objects that it served for this VM lately, oldest first.
-        seen_at: Time at which this VM first heard of it.
-        answered_at: Time of its last answer.
-        sends: Sends without an answer yet, oldest first.
-    """
-
-    __slots__ = (
-        "record",
-        "region",
-        "in_flight",
-        "others",
-        "reported_at",
-        "slowness",
-        "failure_ratio",
-        "judged_at",
-        "failures",
-        "suspect_until",
-        "full_until",
-        "cold_until",
-        "cold_rate",
-        "cold_tokens",
-        "cold_filled_at",
-        "known",
-        "seen_at",
-        "answered_at",
-        "sends",
-        "seed",
-    )
-
-    def __init__(
-        self, record: registry.Upstream, region: str, now: float
-    ) -> None:
-        self.record = record
-        self.region = region
-        self.in_flight = 0
-        self.others = 0.0
-        self.reported_at = now
-        self.slowness = 1.0
-        self.failure_ratio = 0.0
-        self.judged_at = now
-        self.failures = 0
-        self.suspect_until = now
-        self.full_until = now
-        self.cold_until = now
-        self.cold_rate: float | None = None
-        self.cold_tokens = 1.0
-        self.cold_filled_at = now
-        self.known: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
-        self.seen_at = now
-        self.answered_at = now
-        self.sends: list[Send] = []
-        self.seed = record.id.encode()
-
-    def load(self, now: float) -> float:
-        """Returns the requests that it is expected to have now."""
-        age = now - self.reported_at
-        return self.in_flight + self.others * _fade(
-            age, REPORT_HALF_LIFE_SECONDS
-        )
-
-    def report(self, running: int, waiting: int, now: float) -> None:
-        """Takes in its own report; what is not this VM's is the others'."""
-        self.others = max(0.0, running + waiting - self.in_flight)
-        self.reported_at = now
-
-    def succeed(
-        self, object: str | None, seconds: float, expected: float, now: float
-    ) -> None:
-        """Notes an answer and how long it took."""
-        self.failures = 0
-        self.answered_at = now
-        self.suspect_until = now
-        self._decay(now)
-        ratio = min(MAX_SLOWNESS, seconds / max(expected, 0.001))
-        self.slowness += (ratio - self.slowness) * SLOWNESS_WEIGHT
-        self.failure_ratio *= 1 - FAILURE_WEIGHT
-        if object is not None:
-            self.known[object] = None
-            self.known.move_to_end(object)
-            while len(self.known) > MAX_KNOWN:
-                self.known.popitem(last=False)
-
-    def shed(self, now: float) -> None:
-        """Notes that it was full, or said so."""
-        self.answered_at = now
-        self._decay(now)
-        self.failure_ratio += (1 - self.failure_ratio) * FAILURE_WEIGHT
-        self.full_until = now + FULL_SECONDS
-
-    def err(self, now: float) -> None:
-        """Notes an answer that is a failure."""
-        self.failures = 0
-        self.answered_at = now
-        self._decay(now)
-        self.failure_ratio += (1 - self.failure_ratio) * FAILURE_WEIGHT
-
-    def fail(self, now: float) -> None:
-        """Notes that it could not be reached, or did not answer."""
-        failures = self.failures
-        self.err(now)
-        self.failures = failures + 1
-        seconds = SUSPECT_SECONDS * 2 ** min(self.failures - 1, 3)
-        self.suspect_until = now + min(seconds, MAX_SUSPECT_SECONDS)
-
-    def _decay(self, now: float) -> None:
-        age = now - self.judged_at
-        fade = _fade(age, SLOWNESS_HALF_LIFE_SECONDS)
-        self.slowness = 1 + (self.slowness - 1) * fade
-        self.failure_ratio *= _fade(age, FAILURE_HALF_LIFE_SECONDS)
-        self.judged_at = now
-
-    def judged_slowness(self, now: float) -> float:
-        """Returns its slowness, faded since it was last observed."""
-        fade = _fade(now - self.judged_at, SLOWNESS_HALF_LIFE_SECONDS)
-        return max(MIN_SLOWNESS, 1 + (self.slowness - 1) * fade)
-
-    def judged_failures(self, now: float) -> float:
-        """Returns its share of failures, faded since it was observed."""
-        fade = _fade(now - self.judged_at, FAILURE_HALF_LIFE_SECONDS)
-        return self.failure_ratio * fade
-
-    def admits(self, now: float) -> bool:
-        """Tells whether it is warm, or this VM has a token for it."""
-        if self.cold_until <= now or self.cold_rate is None:
-            return True
-        filled = (now - self.cold_filled_at) * self.cold_rate
-        self.cold_tokens = min(1.0, self.cold_tokens + filled)
-        self.cold_filled_at = now
-        return self.cold_rate > 0 and self.cold_tokens >= 1.0
-
-    def begin(self, expected: float, now: float) -> Send:
-        """Notes a send; pass what it returns to `end`.
-
-        Args:
-            expected: Expected seconds to its answer.
-            now: Time in seconds.
-        """
-        if self.cold_until > now and self.cold_rate is not None:
-            self.cold_tokens -= 1.0
-        send = Send(now, expected)
-        self.sends.append(send)
-        self.in_flight += 1
-        return send
-
-    def end(self, send: Send) -> None:
-        """Notes that a send has come to its end."""
-        self.sends.remove(send)
-        self.in_flight -= 1
-
-    def is_silent(self, now: float) -> bool:
-        """Tells whether it has been without any answer for too long."""
-        if not self.sends:
-            return False
-        oldest = self.sends[0]
-        silence = now - max(oldest.started, self.answered_at)
-        return silence > max(SILENT_SECONDS, SILENT_RATIO * oldest.expected)
-
-
 class Choice:
     """The upstream that a request should go to.
 
@@ -281,7 +71,7 @@
 
     def __init__(
         self,
-        upstream: Upstream,
+        upstream: observed.Upstream,
         rank: int,
         wait_seconds: float,
         work_seconds: float,
@@ -390,7 +180,7 @@
     def __init__(
         self, name: str, region: str, domain: str, statistics: Statistics
     ) -> None:
-        self.upstreams: dict[str, Upstream] = {}
+        self.upstreams: dict[str, observed.Upstream] = {}
         self.name = name
         self.vms: dict[str, str] = {name: region}
         self.region = region
@@ -399,7 +189,7 @@
         self.cold_rate = 0.0
         self.statistics = statistics
         self.sends: dict[float, bool] = {}
-        self._orders: dict[str, list[Upstream]] = {}
+        self._orders: dict[str, list[observed.Upstream]] = {}
         self._next_id = 0
 
     def update(
@@ -421,7 +211,7 @@
             known = before.get(record.id)
             if known is None or known.record.born_ms != record.born_ms:
                 region = regions.get(record.failure_domain, "")
-                known = Upstream(record, region, now)
+                known = observed.Upstream(record, region, now)
                 known.cold_until = now + record.cold_ms / 1000
             elif known.record is not record and record.cold_ms > 0:
                 if known.record.noted_ms != record.noted_ms:
@@ -447,7 +237,7 @@
         for upstream in self.upstreams.values():
             upstream.cold_rate = self._cold_share(upstream)
 
-    def _cold_share(self, upstream: Upstream) -> float | None:
+    def _cold_share(self, upstream: observed.Upstream) -> float | None:
         if self.cold_rate <= 0:
             return None
         order = sorted(
@@ -527,11 +317,11 @@
         while self.sends and next(iter(self.sends)) < oldest:
             del self.sends[next(iter(self.sends))]
 
-    def _is_suspect(self, upstream: Upstream, now: float) -> bool:
+    def _is_suspect(self, upstream: observed.Upstream, now: float) -> bool:
         return upstream.suspect_until > now or upstream.is_silent(now)
 
     def _weigh(
-        self, upstream: Upstream, rank: int, ask: Ask, now: float
+        self, upstream: observed.Upstream, rank: int, ask: Ask, now: float
     ) -> Choice:
         work = self.expected(upstream, ask, now, rank)
         slots = max(1, upstream.record.slots)
@@ -547,7 +337,7 @@
 
     def _excess(
         self,
-        upstream: Upstream,
+        upstream: observed.Upstream,
         rank: int,
         ask: Ask,
         now: float,
@@ -566,7 +356,7 @@
         return max(0.0, upstream.load(now) + 1 - spare) * work
 
     def expected(
-        self, upstream: Upstream, ask: Ask, now: float, rank: int = 1
+        self, upstream: observed.Upstream, ask: Ask, now: float, rank: int = 1
     ) -> float:
         """Returns the expected work of a request at an upstream."""
         work = self.statistics.work(ask.route)
@@ -580,7 +370,7 @@
         return work * upstream.judged_slowness(now)
 
     def _penalty(
-        self, upstream: Upstream, rank: int, ask: Ask, now: float
+        self, upstream: observed.Upstream, rank: int, ask: Ask, now: float
     ) -> float:
         cost = upstream.judged_failures(now) * FAILURE_COST_SECONDS
         if self._is_suspect(upstream, now):
@@ -597,7 +387,7 @@
             cost += OVERFLOW_COST_SECONDS
         return cost
 
-    def _order(self, object: str | None) -> list[Upstream]:
+    def _order(self, object: str | None) -> list[observed.Upstream]:
         """Returns the upstreams in the order for an object."""
         if object is None:
             self._next_id += 1
@@ -610,7 +400,7 @@
             self._orders[object] = order
         return order
 
-    def _sort(self, object: str) -> list[Upstream]:
+    def _sort(self, object: str) -> list[observed.Upstream]:
         key = object.encode()
         is_home = _unit(key, b"home") < self.home_share
         scored = [
@@ -626,10 +416,6 @@
         return [s[3] for s in scored]
 
 
-def _fade(age: float, half_life: float) -> float:
-    return float(0.5 ** (max(0.0, age) / half_life))
-
-
 def _unit(key: bytes, salt: bytes) -> float:
     digest = hashlib.blake2b(key, digest_size=8, key=salt[:64]).digest()
     return int.from_bytes(digest, "big") / 2**64
