--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -1,20 +1,18 @@
 """An entry VM: follows the registry, holds shares of rates, admits calls."""
 
 import asyncio
-import contextlib
 import time
 
-from pollenseam import buckets
 from pollenseam import carrier
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import freshness
 from pollenseam import items
 from pollenseam import leases
-from pollenseam import messages
 from pollenseam import news
 from pollenseam import peers
 from pollenseam import registry
+from pollenseam import shares
 from pollenseam import steering
 from pollenseam import tables
 from pollenseam import tasks
@@ -27,11 +25,6 @@
 # A source whose news is older than this is cut off: another one is asked.
 MAX_SOURCE_AGE_SECONDS = 1.2
 AVOID_SECONDS = 2.0
-RENEW_SECONDS = 0.5
-RENEW_RETRY_SECONDS = 0.1
-URGENT_SECONDS = 0.03
-TOKEN_WAIT_SECONDS = 0.25
-TOKEN_POLL_SECONDS = 0.01
 # Part of what a rate may be overdrawn by that entry VMs use unreported; the
 # lender hands out another part.
 OVERDRAFT_RATIO = 0.4
@@ -107,7 +100,7 @@
         table: Routes and keys, compiled.
         pools: Upstreams by service.
         freshness: Age of the registry.
-        book: Leased shares of workspaces' rates.
+        shares: What it may use of workspaces' rates.
         carrier: Sends calls to upstreams.
         is_leaving: Whether it is about to stop.
         in_flight: Calls under way.
@@ -131,7 +124,7 @@
         self.pools: dict[str, steering.Pool] = {}
         self.statistics = steering.Statistics()
         self.freshness = freshness.Freshness()
-        self.book = buckets.Book()
+        self.shares = shares.Shares(log, caller, self.now, lambda: self.own)
         self.carrier = carrier.Carrier(
             dialect,
             log,
@@ -141,8 +134,6 @@
         )
         self.is_leaving = False
         self.in_flight = 0
-        self.leader = ""
-        self._renew_now = asyncio.Event()
         self._avoided: dict[str, float] = {}
         self._tasks = tasks.Group(log)
         self._was_fresh = False
@@ -152,18 +143,17 @@
     async def start(self) -> None:
         """Starts to follow the registry."""
         self._tasks.spawn(self._watch())
-        self._tasks.spawn(self._renew())
+        self._tasks.spawn(self.shares.run())
 
     async def leave(self) -> None:
         """Tells the leader that callers should go elsewhere."""
         self.is_leaving = True
-        self._renew_now.set()
+        self.shares.wake.set()
 
     async def stop(self) -> None:
         """Gives all shares back and stops."""
         self._tasks.cancel()
-        self.book.accounts.clear()
-        await self._call_leader(news.Renew(self.own, []))
+        await self.shares.give_back()
         await self.carrier.close()
         await self.peers.close()
 
@@ -237,7 +227,7 @@
             self.log.emit("source-behind", source=source, index=answer.index)
             return False
         self._take_in(answer, sent_at)
-        self.leader = answer.leader or self.leader
+        self.shares.leader = answer.leader or self.shares.leader
         return 0 <= answer.age_ms <= MAX_SOURCE_AGE_SECONDS * 1000
 
     def _take_in(self, answer: news.News, sent_at: float) -> None:
@@ -269,8 +259,8 @@
             for name, workspace in self.table.workspaces.items()
             if workspace.rate > 0
         ]
-        self.book.keep(limited, self.now())
-        self._renew_now.set()
+        self.shares.book.keep(limited, self.now())
+        self.shares.wake.set()
 
     def _rebuild_pools(self) -> None:
         usable: dict[str, list[registry.Upstream]] = {
@@ -317,63 +307,6 @@
                 index=self.registry.index,
             )
 
-    # Shares of rates.
-
-    async def _renew(self) -> None:
-        while True:
-            is_done = await self._renew_once()
-            period = RENEW_SECONDS if is_done else RENEW_RETRY_SECONDS
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(period):
-                    await self._renew_now.wait()
-            self._renew_now.clear()
-            # Demands that arrive together go out in one message.
-            await asyncio.sleep(URGENT_SECONDS)
-
-    async def _renew_once(self) -> bool:
-        sent_at = self.now()
-        asks = [
-            messages.Ask(
-                resource,
-                asked.held.rate,
-                asked.held.burst,
-                asked.demand,
-                asked.returned,
-                asked.wanted,
-                asked.overdraft,
-            )
-            for resource, asked in self.book.requests(sent_at).items()
-        ]
-        answer = await self._call_leader(news.Renew(self.own, asks))
-        if answer is None:
-            return False
-        if answer.ttl_ms <= 0:
-            self.leader = answer.leader
-            return False
-        deadline = sent_at + answer.ttl_ms / 1000
-        now = self.now()
-        for share in answer.shares:
-            granted = leases.Share(
-                share.rate, share.burst, share.tokens, share.is_scarce
-            )
-            if self.book.renew(share.resource, granted, deadline, now):
-                # Others wait for what this VM no longer holds.
-                self._renew_now.set()
-        return True
-
-    async def _call_leader(self, request: news.Renew) -> messages.Lent | None:
-        if not self.leader:
-            return None
-        try:
-            answer: messages.Lent = await self.peers.call(
-                self.leader, news.RENEW, request, CALL_TIMEOUT_SECONDS
-            )
-        except errors.UnreachableError as error:
-            self.log.emit_often("leader-unreachable", why=str(error))
-            self.leader = ""
-            return None
-        return answer
-
     # Calls.
 
     async def serve(self, call: trips.Call) -> trips.Reply:
@@ -436,37 +369,10 @@
 
     async def _take_token(self, call: trips.Call, deadline: float) -> None:
         workspace = self.table.workspaces.get(call.workspace)
-        if workspace is None or workspace.rate <= 0:
-            return
-        account = self.book.account(call.workspace, self.now())
-        account.demand.count += 1
-        most = self._overdraft(workspace)
-        if account.waiting == 0 and account.take(most, self.now()):
-            if account.overdraft > 0:
-                self._renew_now.set()
-            return
-        account.waiting += 1
-        self._renew_now.set()
-        try:
-            until = min(deadline, self.now() + TOKEN_WAIT_SECONDS)
-            while self.now() < until:
-                await asyncio.sleep(TOKEN_POLL_SECONDS)
-                if account.take(most, self.now()):
-                    return
-        finally:
-            account.waiting -= 1
-        if not account.is_lent(self.now()):
-            raise errors.refuse(
-                errors.Kind.NO_QUORUM, "no share of the rate is held"
-            )
-        share = account.bucket.held(self.now())
-        raise errors.refuse(
-            errors.Kind.OVER_RATE,
-            f"over the rate: {account.demand.rate:.3g}/s here, share "
-            f"{share.rate:.3g}/s and {share.burst:.3g} of "
-            f"{workspace.rate:g}/s and {workspace.burst:g}",
-            retry_after=max(0.2, 1 / workspace.rate),
-        )
+        if workspace is not None and workspace.rate > 0:
+            most = self._overdraft(workspace)
+            whole = leases.Whole(workspace.rate, workspace.burst)
+            await self.shares.take(call.workspace, whole, most, deadline)
 
     def _overdraft(self, workspace: items.Workspace) -> float:
         """Returns what may be used beyond a share before it is reported."""
--- /dev/null
+++ b/src/pollenseam/shares.py
@@ -0,0 +1,158 @@
+"""An entry VM's shares of workspaces' rates: renewed, used, given back."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from pollenseam import buckets
+from pollenseam import control
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import leases
+from pollenseam import messages
+from pollenseam import news
+from pollenseam import peers
+
+CALL_TIMEOUT_SECONDS = 0.6
+RENEW_SECONDS = 0.5
+RENEW_RETRY_SECONDS = 0.1
+URGENT_SECONDS = 0.03
+TOKEN_WAIT_SECONDS = 0.25
+TOKEN_POLL_SECONDS = 0.01
+
+
+class Shares:
+    """Holds shares under leases of the leader.
+
+    Attributes:
+        log: Event log.
+        peers: Calls to other VMs.
+        now: Returns the time in seconds.
+        own: Returns this VM's record, which every renewal carries.
+        book: The shares by workspace.
+        leader: Address of the leader, or "" when not known.
+        wake: Set to renew at once.
+    """
+
+    def __init__(
+        self,
+        log: events.EventLog,
+        caller: peers.Peers,
+        now: control.Clock,
+        own: Callable[[], news.EntryVm],
+    ) -> None:
+        self.log = log
+        self.peers = caller
+        self.now = now
+        self.own = own
+        self.book = buckets.Book()
+        self.leader = ""
+        self.wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Renews until cancelled."""
+        while True:
+            is_done = await self._renew()
+            period = RENEW_SECONDS if is_done else RENEW_RETRY_SECONDS
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period):
+                    await self.wake.wait()
+            self.wake.clear()
+            # Demands that arrive together go out in one message.
+            await asyncio.sleep(URGENT_SECONDS)
+
+    async def _renew(self) -> bool:
+        sent_at = self.now()
+        asks = [
+            messages.Ask(
+                resource,
+                asked.held.rate,
+                asked.held.burst,
+                asked.demand,
+                asked.returned,
+                asked.wanted,
+                asked.overdraft,
+            )
+            for resource, asked in self.book.requests(sent_at).items()
+        ]
+        answer = await self._call_leader(news.Renew(self.own(), asks))
+        if answer is None:
+            return False
+        if answer.ttl_ms <= 0:
+            self.leader = answer.leader
+            return False
+        deadline = sent_at + answer.ttl_ms / 1000
+        now = self.now()
+        for share in answer.shares:
+            granted = leases.Share(
+                share.rate, share.burst, share.tokens, share.is_scarce
+            )
+            if self.book.renew(share.resource, granted, deadline, now):
+                # Others wait for what this VM no longer holds.
+                self.wake.set()
+        return True
+
+    async def _call_leader(self, request: news.Renew) -> messages.Lent | None:
+        if not self.leader:
+            return None
+        try:
+            answer: messages.Lent = await self.peers.call(
+                self.leader, news.RENEW, request, CALL_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError as error:
+            self.log.emit_often("leader-unreachable", why=str(error))
+            self.leader = ""
+            return None
+        return answer
+
+    async def give_back(self) -> None:
+        """Gives all shares back before a planned stop."""
+        self.book.accounts.clear()
+        await self._call_leader(news.Renew(self.own(), []))
+
+    async def take(
+        self,
+        resource: str,
+        whole: leases.Whole,
+        most: float,
+        deadline: float,
+    ) -> None:
+        """Takes a token, waiting a short while for one.
+
+        Args:
+            resource: Name of the workspace.
+            whole: What it may use over all VMs.
+            most: Tokens beyond the share that the lender may not know of.
+            deadline: Time until which a token is of use.
+
+        Raises:
+            RefusedError: None came.
+        """
+        account = self.book.account(resource, self.now())
+        account.demand.count += 1
+        if account.waiting == 0 and account.take(most, self.now()):
+            if account.overdraft > 0:
+                self.wake.set()
+            return
+        account.waiting += 1
+        self.wake.set()
+        try:
+            until = min(deadline, self.now() + TOKEN_WAIT_SECONDS)
+            while self.now() < until:
+                await asyncio.sleep(TOKEN_POLL_SECONDS)
+                if account.take(most, self.now()):
+                    return
+        finally:
+            account.waiting -= 1
+        if not account.is_lent(self.now()):
+            raise errors.refuse(
+                errors.Kind.NO_QUORUM, "no share of the rate is held"
+            )
+        share = account.bucket.held(self.now())
+        raise errors.refuse(
+            errors.Kind.OVER_RATE,
+            f"over the rate: {account.demand.rate:.3g}/s here, share "
+            f"{share.rate:.3g}/s and {share.burst:.3g} of "
+            f"{whole.rate:g}/s and {whole.burst:g}",
+            retry_after=max(0.2, 1 / whole.rate),
+        )
