--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -28,6 +28,10 @@
 # An overflow into another region costs this much more than a planned one:
 # requests move between regions slowly.
 OVERFLOW_COST_SECONDS = 0.35
+# It has just shed a request.
+SHED_COST_SECONDS = 0.3
+COLD_COST_SECONDS = 1.0
+# Only where nothing else serves.
 SUSPECT_COST_SECONDS = 100.0
 # After its start an upstream is taught what it will know.
 LEARNING_SECONDS = 8.0
@@ -45,6 +49,9 @@
 FULL_COST_SECONDS = 2.0
 # VMs that send to a cold upstream: each may send one at the same moment.
 MAX_COLD_SENDERS = 3
+MAX_ORDERS = 4096
+# Requests that concern nothing spread over this many orders.
+ORDERS_WITHOUT_OBJECT = 64
 
 
 class Choice:
@@ -376,11 +383,11 @@
         if self._is_suspect(upstream, now):
             cost += SUSPECT_COST_SECONDS
         if upstream.full_until > now:
-            cost += 0.3
+            cost += SHED_COST_SECONDS
         if upstream.load(now) >= FULL_LOAD_RATIO * upstream.record.slots:
             cost += FULL_COST_SECONDS
         if upstream.cold_until > now:
-            cost += 1.0
+            cost += COLD_COST_SECONDS
         if rank > 0 and ask.object not in upstream.known:
             cost += STRAY_COST_SECONDS
         if rank > 0 and upstream.region != self.region:
@@ -391,11 +398,11 @@
         """Returns the upstreams in the order for an object."""
         if object is None:
             self._next_id += 1
-            object = f"#{self._next_id % 64}"
+            object = f"#{self._next_id % ORDERS_WITHOUT_OBJECT}"
         order = self._orders.get(object)
         if order is None:
             order = self._sort(object)
-            if len(self._orders) > 4096:
+            if len(self._orders) > MAX_ORDERS:
                 self._orders.clear()
             self._orders[object] = order
         return order
