--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -178,7 +178,7 @@
         self, trip: trips.Trip, upstream: observed.Upstream
     ) -> aiohttp.ClientResponse:
         call = trip.call
-        left = min(trip.deadline, call.deadline) - self.now()
+        left = trip.deadline - self.now()
         headers = self.dialect.request_headers(call, upstream.record.id, left)
         address = upstream.record.address
         return await self.session.request(
