Asks and shares are written to messages and read back in one place

lending.lend, asks and granted serve the older renewer and lender as well as shares and controlvm, which had written them again; the older copies would have dropped an overdraft silently.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -17,6 +17,7 @@
 from pollenseam import joining
 from pollenseam import journal
 from pollenseam import leases
+from pollenseam import lending
 from pollenseam import messages
 from pollenseam import news
 from pollenseam import peers
@@ -575,18 +576,7 @@
             whole = leases.Whole(item.body.rate, item.body.burst)
             spare = self.settings.tolerance.spare(whole)
             whole.burst += SPARE_RATIO * spare
-        held = leases.Whole(ask.held_rate, ask.held_burst)
-        wants = leases.Request(
-            held, ask.demand, ask.returned, ask.wanted, ask.overdraft
-        )
-        share = lender.lend(ask.resource, holder, wants, whole, now)
-        return messages.Share(
-            ask.resource,
-            share.rate,
-            share.burst,
-            share.tokens,
-            share.is_scarce,
-        )
+        return lending.lend(lender, holder, ask, whole, now)
 
 
 async def open_vm(
--- a/src/pollenseam/lending.py
+++ b/src/pollenseam/lending.py
@@ -1,5 +1,7 @@
 """What the leader lends: the wholes of all resources, from the tree."""
 
+from collections.abc import Mapping
+
 from pollenseam import catalog
 from pollenseam import leases
 from pollenseam import messages
@@ -10,6 +12,53 @@
 NOTHING = leases.Whole(0.0, 0.0)
 
 
+def lend(
+    lender: leases.Lender,
+    holder: str,
+    ask: messages.Ask,
+    whole: leases.Whole,
+    now: float,
+) -> messages.Share:
+    """Returns a lender's answer to one ask, as it is sent.
+
+    Args:
+        lender: The division between holders.
+        holder: VM and incarnation.
+        ask: The holder's demand.
+        whole: What the resource may use over the fleet now.
+        now: Lender's time in seconds.
+    """
+    held = leases.Whole(ask.held_rate, ask.held_burst)
+    wants = leases.Request(
+        held, ask.demand, ask.returned, ask.wanted, ask.overdraft
+    )
+    share = lender.lend(ask.resource, holder, wants, whole, now)
+    return messages.Share(
+        ask.resource, share.rate, share.burst, share.tokens, share.is_scarce
+    )
+
+
+def asks(requests: Mapping[str, leases.Request]) -> list[messages.Ask]:
+    """Returns a holder's requests by resource, as they are sent."""
+    return [
+        messages.Ask(
+            resource,
+            asked.held.rate,
+            asked.held.burst,
+            asked.demand,
+            asked.returned,
+            asked.wanted,
+            asked.overdraft,
+        )
+        for resource, asked in requests.items()
+    ]
+
+
+def granted(share: messages.Share) -> leases.Share:
+    """Returns the share that a lender's answer grants."""
+    return leases.Share(share.rate, share.burst, share.tokens, share.is_scarce)
+
+
 class Lending:
     """Answers VMs' demands from the settings tree.
 
@@ -37,20 +86,16 @@
             clock_ms: State clock, moved on to now.
             now: Lender's time in seconds.
         """
-        shares: list[messages.Share] = []
-        for ask in request.asks:
-            whole = self.whole(ask.resource, settings_tree, clock_ms)
-            held = leases.Whole(ask.held_rate, ask.held_burst)
-            wants = leases.Request(held, ask.demand, ask.returned, ask.wanted)
-            share = self.lender.lend(
-                ask.resource, request.holder, wants, whole, now
-            )
-            shares.append(
-                messages.Share(
-                    ask.resource, share.rate, share.burst, share.tokens
-                )
+        return [
+            lend(
+                self.lender,
+                request.holder,
+                ask,
+                self.whole(ask.resource, settings_tree, clock_ms),
+                now,
             )
-        return shares
+            for ask in request.asks
+        ]
 
     def whole(
         self, resource: str, settings_tree: tree.Tree, clock_ms: int
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -5,6 +5,7 @@
 
 from pollenseam import errors
 from pollenseam import leases
+from pollenseam import lending
 from pollenseam import messages
 from pollenseam import peers
 from pollenseam import submitter
@@ -59,17 +60,7 @@
         return True
 
     def _request(self, now: float) -> messages.Lend:
-        asks = [
-            messages.Ask(
-                resource,
-                asked.held.rate,
-                asked.held.burst,
-                asked.demand,
-                asked.returned,
-                asked.wanted,
-            )
-            for resource, asked in self.vm.book.requests(now).items()
-        ]
+        asks = lending.asks(self.vm.book.requests(now))
         return messages.Lend(self.vm.holder, asks, 0)
 
     async def _send(self, request: messages.Lend) -> messages.Lent | None:
@@ -99,7 +90,7 @@
         now = own.now()
         deadline = sent_at + answer.ttl_ms / 1000
         for share in answer.shares:
-            granted = leases.Share(share.rate, share.burst, share.tokens)
+            granted = lending.granted(share)
             if own.trace.is_on:
                 own.trace.add(
                     traces.Renewed(
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -9,6 +9,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import leases
+from pollenseam import lending
 from pollenseam import messages
 from pollenseam import news
 from pollenseam import peers
@@ -63,18 +64,7 @@
 
     async def _renew(self) -> bool:
         sent_at = self.now()
-        asks = [
-            messages.Ask(
-                resource,
-                asked.held.rate,
-                asked.held.burst,
-                asked.demand,
-                asked.returned,
-                asked.wanted,
-                asked.overdraft,
-            )
-            for resource, asked in self.book.requests(sent_at).items()
-        ]
+        asks = lending.asks(self.book.requests(sent_at))
         answer = await self._call_leader(news.Renew(self.own(), asks))
         if answer is None:
             return False
@@ -84,9 +74,7 @@
         deadline = sent_at + answer.ttl_ms / 1000
         now = self.now()
         for share in answer.shares:
-            granted = leases.Share(
-                share.rate, share.burst, share.tokens, share.is_scarce
-            )
+            granted = lending.granted(share)
             if self.book.renew(share.resource, granted, deadline, now):
                 # Others wait for what this VM no longer holds.
                 self.wake.set()
