Cold shares are worked out once per change of the registry, not twice

The pool did it with the old rate, then the entry VM with the new one: a hash for each pair of upstream and entry VM each time.

--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -207,6 +207,8 @@
     ) -> None:
         """Uses exactly these records, keeping what is known of them.
 
+        Call `share_cold` afterwards: new ones have no part of it yet.
+
         Args:
             records: Upstreams that may get requests.
             regions: Region of each failure domain.
@@ -227,7 +229,6 @@
             self.upstreams[record.id] = known
         self.home_share = self._home_share(regions)
         self._orders.clear()
-        self.share_cold(self.cold_rate, self.vms)
 
     def share_cold(self, rate: float, vms: dict[str, str]) -> None:
         """Divides what cold upstreams tolerate between a few VMs each.
