Metrics of the programs: counters and latency histograms at an address of their own

Answers by route and outcome, by workspace, tries by service and outcome, latencies by route, refusals' time held, control calls and their times, renewals, watches, and gauges of freshness, quorum and membership; at most 200 series each. A request that is refused before it could be read has its line now.

--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -10,6 +10,7 @@
 
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import metrics
 from pollenseam import observed
 from pollenseam import retries
 from pollenseam import sessions
@@ -31,6 +32,7 @@
     Attributes:
         dialect: How upstreams are spoken to.
         log: Event log.
+        tries: Counts sends by service and outcome.
         budgets: Further sends by service.
         vms: Entry VMs that share the budgets.
     """
@@ -39,12 +41,14 @@
         self,
         dialect: trips.Dialect,
         log: events.EventLog,
+        tries: metrics.Counter,
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
     ) -> None:
         self.dialect = dialect
         self.log = log
+        self.tries = tries
         self.now = vm.boot_seconds
         self.vms = 1
         self.retry_ratio = retry_ratio
@@ -286,6 +290,7 @@
     ) -> None:
         upstream = choice.upstream
         object = trip.object
+        self.tries.add(trip.service, "served")
         self.log.emit_often(
             "served",
             request=trip.call.id,
@@ -327,6 +332,7 @@
         started: float,
         why: str,
     ) -> None:
+        self.tries.add(trip.service, outcome)
         self.log.emit_often(
             "try",
             request=trip.call.id,
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -19,6 +19,7 @@
 from pollenseam import leases
 from pollenseam import lending
 from pollenseam import messages
+from pollenseam import metrics
 from pollenseam import news
 from pollenseam import peers
 from pollenseam import proposer
@@ -106,6 +107,7 @@
         freshness: Age of the replica's state.
         heard: Upstreams heard of that the leader does not know of yet.
         changed: Set and replaced whenever the registry moved on.
+        metrics: What it counts.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         self.freshness = freshness.Freshness()
         self.heard: set[str] = set()
         self.changed = asyncio.Event()
+        self.metrics = metrics.ControlMetrics()
         self.server = peers.Server(log.clock, caller.traffic)
         self.control = self._open()
         self.proposer = proposer.Proposer(
@@ -372,6 +375,25 @@
             self.freshness.note(confirmed, 0)
         return self.freshness.age_ms(self.now())
 
+    def expose(self) -> str:
+        """Returns all metrics in the text exposition format."""
+        core = self.control.replica
+        states = [u.state for u in self.recorded.upstreams.values()]
+        return self.metrics.expose(
+            {
+                "is_leader": self.control.is_leader,
+                "term": core.hard.term,
+                "commit_index": core.commit,
+                "settings_index": self.recorded.index,
+                "settings_age_seconds": self.age_ms() / 1000,
+                "voters": len(core.members.voters),
+                "learners": len(core.members.learners),
+                "entry_vms": len(self.directory.entries),
+                "control_vms": len(self.directory.controls),
+                "upstreams_serving": states.count(registry.SERVING),
+            }
+        )
+
     def is_in_touch(self) -> bool:
         """Whether what is said here reaches the leader, as far as known."""
         return 0 <= self.age_ms() <= OUT_OF_TOUCH_SECONDS * 1000
@@ -513,6 +535,8 @@
     async def _answer_watch(self, request: news.Watch) -> news.News:
         own = self.control
         is_member = True
+        asker = "entry" if request.control is None else "control"
+        self.metrics.watches.add(asker)
         if request.control is not None and own.is_leader:
             self.census.hear_upstreams(request.heard, self.now())
             members = own.replica.members
@@ -555,6 +579,7 @@
         own = self.control
         confirmed = own.confirmed_at()
         if confirmed is None:
+            self.metrics.renewals.add("not-leader")
             return messages.Lent(0, own.leader_address, [], 0)
         now = self.now()
         self.census.hear_entry(request.entry, now)
@@ -577,6 +602,7 @@
         scarce = None
         if not lender.is_learning(now):
             scarce = lender.scarce(wholes, now)
+        self.metrics.renewals.add("learning" if scarce is None else "lent")
         return messages.Lent(ttl_ms, "", shares, 0, scarce)
 
     def _wholes(self) -> dict[str, leases.Whole]:
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -9,6 +9,7 @@
 from pollenseam import freshness
 from pollenseam import items
 from pollenseam import leases
+from pollenseam import metrics
 from pollenseam import news
 from pollenseam import peers
 from pollenseam import registry
@@ -104,6 +105,7 @@
         carrier: Sends calls to upstreams.
         is_leaving: Whether it is about to stop.
         in_flight: Calls under way.
+        metrics: What it counts.
     """
 
     def __init__(
@@ -125,9 +127,11 @@
         self.statistics = steering.Statistics()
         self.freshness = freshness.Freshness()
         self.shares = shares.Shares(log, caller, self.now, lambda: self.own)
+        self.metrics = metrics.EntryMetrics()
         self.carrier = carrier.Carrier(
             dialect,
             log,
+            self.metrics.tries,
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
@@ -319,7 +323,9 @@
         try:
             trip = self._admit(call)
             await self._take_token(call, trip.deadline)
-            return await self.carrier.carry(trip)
+            reply = await self.carrier.carry(trip)
+            self._count_reply(call, reply.status)
+            return reply
         except errors.RefusedError as error:
             self._note_refusal(call, error.refusal)
             raise
@@ -336,6 +342,7 @@
             raise errors.refuse(
                 errors.Kind.NO_ROUTE, "no route takes this host and path"
             )
+        call.route = entry.name
         route = entry.route
         regions = frozenset(route.homes)
         priority = route.priority
@@ -380,12 +387,49 @@
         spare = self.settings.tolerance.spare(whole)
         return overdraft(spare, self.carrier.vms)
 
+    def _count_reply(self, call: trips.Call, status: int) -> None:
+        counted = self.metrics
+        counted.answers.add(call.route, str(status))
+        counted.workspaces.add(call.workspace, "answered")
+        counted.latencies.observe(call.route, self.now() - call.arrived_at)
+
+    def note_unread(self, id: str, refusal: errors.Refusal) -> None:
+        """Notes a request that was refused before it could be read."""
+        self.metrics.answers.add("", refusal.kind.value)
+        self.log.emit_often(
+            "refused",
+            request=id,
+            kind=refusal.kind.value,
+            why=refusal.detail,
+            executed=refusal.executed,
+        )
+
+    def expose(self) -> str:
+        """Returns all metrics in the text exposition format."""
+        upstreams = sum(len(pool.upstreams) for pool in self.pools.values())
+        return self.metrics.expose(
+            {
+                "in_flight": self.in_flight,
+                "is_ready": self.is_ready,
+                "is_leaving": self.is_leaving,
+                "settings_index": self.registry.index,
+                "settings_age_seconds": self.freshness.age(self.now()),
+                "upstreams": upstreams,
+                "entry_vms": len(self.directory.entries),
+            }
+        )
+
     def _note_refusal(self, call: trips.Call, refusal: errors.Refusal) -> None:
         now = self.now()
+        kind = refusal.kind.value
+        self.metrics.answers.add(call.route, kind)
+        self.metrics.workspaces.add(call.workspace, kind)
+        self.metrics.holds.observe(kind, now - call.arrived_at)
         self.log.emit_often(
             "refused",
             request=call.id,
-            kind=refusal.kind.value,
+            route=call.route or None,
+            kind=kind,
             why=refusal.detail,
             executed=refusal.executed,
             workspace=call.workspace or None,
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -1,6 +1,7 @@
 """Counts and latencies of one VM, and their text exposition."""
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from hdrh import histogram
@@ -9,6 +10,158 @@
 HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 99.0, 99.9)
+# Label values of one metric; further ones are counted together.
+MAX_SERIES = 200
+OTHER = "other"
+
+
+class Counter:
+    """A counter with labels, of a bounded number of series.
+
+    Attributes:
+        name: Its name, without the product's prefix.
+        labels: Names of its labels.
+        counts: By the labels' values.
+    """
+
+    __slots__ = ("name", "labels", "counts")
+
+    def __init__(self, name: str, *labels: str) -> None:
+        self.name = name
+        self.labels = labels
+        self.counts: collections.Counter[tuple[str, ...]] = (
+            collections.Counter()
+        )
+
+    def add(self, *values: str) -> None:
+        """Counts one event with these values of the labels."""
+        if values not in self.counts and len(self.counts) >= MAX_SERIES:
+            values = (OTHER,) * len(self.labels)
+        self.counts[values] += 1
+
+    def lines(self) -> Iterator[str]:
+        """Yields it in the text exposition format."""
+        yield f"# TYPE pollenseam_{self.name} counter"
+        for values, count in sorted(self.counts.items()):
+            pairs = zip(self.labels, values, strict=True)
+            yield f"pollenseam_{self.name}{_labels(pairs)} {count}"
+
+
+class Summary:
+    """Latencies by one label, of a bounded number of series.
+
+    Attributes:
+        name: Its name, without the product's prefix.
+        label: Name of its label.
+        histograms: By the label's value, in microseconds.
+    """
+
+    __slots__ = ("name", "label", "histograms")
+
+    def __init__(self, name: str, label: str) -> None:
+        self.name = name
+        self.label = label
+        self.histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def observe(self, value: str, seconds: float) -> None:
+        """Records one latency under this value of the label."""
+        found = self.histograms.get(value)
+        if found is None:
+            if len(self.histograms) >= MAX_SERIES:
+                value = OTHER
+            found = self.histograms.setdefault(
+                value,
+                histogram.HdrHistogram(
+                    LOWEST_MICROSECONDS,
+                    HIGHEST_MICROSECONDS,
+                    SIGNIFICANT_DIGITS,
+                ),
+            )
+        found.record_value(max(LOWEST_MICROSECONDS, int(seconds * 1e6)))
+
+    def lines(self) -> Iterator[str]:
+        """Yields it in the text exposition format."""
+        name = f"pollenseam_{self.name}"
+        yield f"# TYPE {name} summary"
+        for value, found in sorted(self.histograms.items()):
+            own = (self.label, value)
+            for quantile in QUANTILES:
+                seconds = found.get_value_at_percentile(quantile) / 1e6
+                pairs = _labels([own, ("quantile", f"{quantile / 100:g}")])
+                yield f"{name}{pairs} {seconds:.6f}"
+            yield f"{name}_count{_labels([own])} {found.get_total_count()}"
+
+
+class EntryMetrics:
+    """What an entry VM counts.
+
+    Attributes:
+        answers: Answers to callers, by route and status or kind of refusal.
+        workspaces: The same by workspace: served or kind of refusal.
+        tries: Sends to upstreams, by service and outcome.
+        latencies: Time from arrival to the upstream's answer, by route.
+        holds: Time from arrival to a refusal, by kind.
+    """
+
+    __slots__ = ("answers", "workspaces", "tries", "latencies", "holds")
+
+    def __init__(self) -> None:
+        self.answers = Counter("answers_total", "route", "outcome")
+        self.workspaces = Counter("workspace_total", "workspace", "outcome")
+        self.tries = Counter("tries_total", "service", "outcome")
+        self.latencies = Summary("latency_seconds", "route")
+        self.holds = Summary("refusal_held_seconds", "kind")
+
+    def expose(self, gauges: dict[str, float]) -> str:
+        """Returns all metrics, and gauges, in the text exposition format."""
+        parts = (self.answers, self.workspaces, self.tries)
+        return _text(gauges, [*parts, self.latencies, self.holds])
+
+
+class ControlMetrics:
+    """What a control VM counts.
+
+    Attributes:
+        calls: Operators' and upstreams' calls, by call and outcome.
+        latencies: Time to their answers, by call.
+        renewals: Entry VMs' renewals of shares, by outcome.
+        watches: Watches answered, by who asked.
+    """
+
+    __slots__ = ("calls", "latencies", "renewals", "watches")
+
+    def __init__(self) -> None:
+        self.calls = Counter("calls_total", "call", "outcome")
+        self.latencies = Summary("call_seconds", "call")
+        self.renewals = Counter("renewals_total", "outcome")
+        self.watches = Counter("watches_total", "asker")
+
+    def expose(self, gauges: dict[str, float]) -> str:
+        """Returns all metrics, and gauges, in the text exposition format."""
+        parts = (self.calls, self.latencies, self.renewals, self.watches)
+        return _text(gauges, parts)
+
+
+def _text(gauges: dict[str, float], parts: Iterable[Counter | Summary]) -> str:
+    lines = list(_gauges(gauges))
+    for part in parts:
+        lines += part.lines()
+    return "\n".join(lines) + "\n"
+
+
+def _gauges(gauges: dict[str, float]) -> Iterator[str]:
+    for name, value in gauges.items():
+        yield f"# TYPE pollenseam_{name} gauge"
+        yield f"pollenseam_{name} {value:.6g}"
+
+
+def _labels(pairs: Iterable[tuple[str, str]]) -> str:
+    return "{" + ",".join(f'{name}="{_escape(v)}"' for name, v in pairs) + "}"
+
+
+def _escape(value: str) -> str:
+    value = value.replace("\\", "\\\\").replace('"', '\\"')
+    return value.replace("\n", "\\n")
 
 
 class Metrics:
@@ -47,26 +200,19 @@
         self.lookups = 0
         self.retries = 0
         self.sheds = 0
-        self.latencies: dict[str, histogram.HdrHistogram] = {}
+        self.latencies = Summary("latency_seconds", "service")
 
     def observe(self, service: str, seconds: float) -> None:
         """Records the latency of one answer."""
         self.served[service] += 1
-        found = self.latencies.get(service)
-        if found is None:
-            found = self.latencies[service] = histogram.HdrHistogram(
-                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
-            )
-        found.record_value(max(LOWEST_MICROSECONDS, int(seconds * 1e6)))
+        self.latencies.observe(service, seconds)
 
     def expose(self, gauges: dict[str, float]) -> str:
         """Returns all metrics, and gauges, in the text exposition format."""
         return "\n".join(self._lines(gauges)) + "\n"
 
     def _lines(self, gauges: dict[str, float]) -> Iterator[str]:
-        for name, value in gauges.items():
-            yield f"# TYPE pollenseam_{name} gauge"
-            yield f"pollenseam_{name} {value:.6g}"
+        yield from _gauges(gauges)
         counters = (
             ("served_total", "service", self.served),
             ("refused_total", "kind", self.refused),
@@ -77,19 +223,8 @@
         for name, label, counter in counters:
             yield f"# TYPE pollenseam_{name} counter"
             for key, count in sorted(counter.items()):
-                yield f'pollenseam_{name}{{{label}="{key}"}} {count}'
+                yield f"pollenseam_{name}{_labels([(label, key)])} {count}"
         for name in ("lookups", "retries", "sheds"):
             yield f"# TYPE pollenseam_{name}_total counter"
             yield f"pollenseam_{name}_total {getattr(self, name)}"
-        yield "# TYPE pollenseam_latency_seconds summary"
-        for service, found in sorted(self.latencies.items()):
-            yield from _summary(service, found)
-
-
-def _summary(service: str, found: histogram.HdrHistogram) -> Iterator[str]:
-    name = "pollenseam_latency_seconds"
-    for quantile in QUANTILES:
-        seconds = found.get_value_at_percentile(quantile) / 1e6
-        labels = f'service="{service}",quantile="{quantile / 100:g}"'
-        yield f"{name}{{{labels}}} {seconds:.6f}"
-    yield f'{name}_count{{service="{service}"}} {found.get_total_count()}'
+        yield from self.latencies.lines()
--- a/src/pollenseam/trips.py
+++ b/src/pollenseam/trips.py
@@ -31,6 +31,7 @@
         deadline: Time after which the caller no longer waits.
         arrived_at: Time at which it was read.
         workspace: Name of the key's workspace, or "".
+        route: Name of its route, or "" until that is known.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "deadline",
         "arrived_at",
         "workspace",
+        "route",
     )
 
     def __init__(
@@ -74,6 +76,7 @@
         self.deadline = deadline
         self.arrived_at = arrived_at
         self.workspace = ""
+        self.route = ""
 
 
 class Head:
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -72,6 +72,7 @@
             sys.executable,
             str(ROOT / "platform" / "program.py"),
             self.role,
+            "7106",
             stdout=log,
             stderr=log,
             env={
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -192,6 +192,24 @@
     assert await world.entries[0].process.wait() == 0
 
 
+async def test_metrics_tell_answers_refusals_and_calls(world):
+    await world.add_server("i-1")
+    await served(world)
+    assert (await world.request(key="no-such-key"))[0] == 401
+
+    async def metrics_of(machine):
+        async with world.session.get(f"http://{machine.ip}:7106/") as response:
+            return await response.text()
+
+    entry = await metrics_of(world.entries[0])
+    assert 'outcome="200"}' in entry
+    assert 'outcome="key-unknown"}' in entry
+    assert "pollenseam_settings_age_seconds" in entry
+    controls = [await metrics_of(control) for control in world.controls]
+    assert any("pollenseam_is_leader 1" in text for text in controls)
+    assert any('call="config.patch",outcome="200"' in text for text in controls)
+
+
 async def has_seen(server, count):
     return len(server.seen) >= count
 
