pollenseam explain: the story of one request over the logs of several VMs

Its events in order, what its VM believed when it came, the change of settings that decided, and what became known of its upstreams; lines that are no events are counted and said, by timeline too. A refusal for want of room says what it weighed; an accepted patch says its index.

--- a/src/pollenseam/carrier.py
+++ b/src/pollenseam/carrier.py
@@ -105,9 +105,12 @@
         left = trip.deadline - now
         work = choice.work_seconds * CERTAIN_WORK_RATIO
         if choice.excess_seconds > 0 or choice.wait_seconds + work > left:
-            raise self._give_up(
-                trip, "no upstream has room", choice.excess_seconds
+            why = (
+                f"no upstream has room: {choice.upstream.record.id} would "
+                f"take {choice.seconds:.3g} s, load "
+                f"{choice.upstream.load(now):.3g}, {left:.3g} s are left"
             )
+            raise self._give_up(trip, why, choice.excess_seconds)
         if trip.arrivals and not self._budget(trip.service).spend(
             self.vms, now
         ):
--- a/src/pollenseam/cli.py
+++ b/src/pollenseam/cli.py
@@ -15,6 +15,7 @@
 
 from pollenseam import client
 from pollenseam import errors
+from pollenseam import explaining
 from pollenseam import flags
 from pollenseam import keys
 from pollenseam import operators
@@ -488,9 +489,36 @@
     }
     filters = {name: value for name, value in wanted.items() if value}
     sources = [_open_lines(file) for file in files]
-    for found in timelines.merge(sources):
+    unread = timelines.Unread()
+    for found in timelines.merge(sources, unread):
         if timelines.matches(found, filters):
             _print(found.fields, found.line)
+    if unread.count:
+        print(f"{unread.count} lines are no events", file=sys.stderr)
+
+
+def explain(request: str, *files: str) -> None:
+    """Tells the story of one request from the event logs of several VMs.
+
+    Args:
+        request: The request's id.
+        files: Log files of entry and control VMs; - is standard input, which
+            is also read when no file is given.
+    """
+    sources = [_open_lines(file) for file in files or ("-",)]
+    story = explaining.explain(request, sources)
+    _print(
+        {
+            "own": [event.fields for event in story.own],
+            "before": [event.fields for event in story.before],
+            "upstreams": [event.fields for event in story.upstreams],
+            "change": story.change.fields if story.change else None,
+            "unread": story.unread,
+        },
+        "\n".join(story.lines()),
+    )
+    if not story.own:
+        sys.exit(EXIT_BROKEN)
 
 
 def replay(*traces: str) -> None:
@@ -514,6 +542,8 @@
 
 
 def _open_lines(file: str) -> list[str]:
+    if file == "-":
+        return sys.stdin.read().splitlines()
     try:
         text = pathlib.Path(file).read_text(errors="replace")
     except OSError as error:
@@ -544,6 +574,7 @@
         "remove": replica_remove,
     },
     "timeline": timeline,
+    "explain": explain,
     "replay": replay,
 }
 
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -400,8 +400,8 @@
 
     # Operators and upstreams.
 
-    async def patch(self, patch: list[items.Item], deadline: float) -> None:
-        """Puts items in force.
+    async def patch(self, patch: list[items.Item], deadline: float) -> int:
+        """Puts items in force; returns the index of the change.
 
         Raises:
             RefusedError: The patch is not valid.
@@ -412,6 +412,7 @@
         )
         if outcome.kind:
             raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
+        return outcome.index
 
     async def evacuate(
         self, failure_domain: str, is_on: bool, deadline: float
--- a/src/pollenseam/timeline.py
+++ b/src/pollenseam/timeline.py
@@ -32,26 +32,49 @@
         return (self.logical, self.ts, self.vm)
 
 
-def read(lines: Iterable[str]) -> Iterator[Event]:
-    """Yields the events among lines; other lines are passed over."""
+class Unread:
+    """Counts lines that are no events.
+
+    Attributes:
+        count: How many there were.
+    """
+
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
+def read(lines: Iterable[str], unread: Unread | None = None) -> Iterator[Event]:
+    """Yields the events among lines, without what a collector put before.
+
+    Args:
+        lines: Lines of a log.
+        unread: Counts the lines that are no events.
+    """
     for line in lines:
-        fields = events.parse_line(line)
-        if not fields:
-            continue
+        text = line[max(0, line.find("ts=")) :].strip()
+        fields = events.parse_line(text)
         try:
-            yield Event(fields, line.strip())
+            if fields:
+                yield Event(fields, text)
+                continue
         except ValueError:
-            continue
+            pass
+        if unread is not None and text:
+            unread.count += 1
 
 
-def merge(sources: Iterable[Iterable[str]]) -> Iterator[Event]:
+def merge(
+    sources: Iterable[Iterable[str]], unread: Unread | None = None
+) -> Iterator[Event]:
     """Yields the events of several processes, causes before effects.
 
     Every message between processes carries a logical time, so an event that
     led to another one always has the smaller logical time, whatever the
     processes' clocks say.
     """
-    ordered = [sorted(read(lines), key=Event.key) for lines in sources]
+    ordered = [sorted(read(one, unread), key=Event.key) for one in sources]
     return heapq.merge(*ordered, key=Event.key)
 
 
