--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -31,6 +31,9 @@
 WATCH_SECONDS = 0.4
 CALL_TIMEOUT_SECONDS = 0.8
 MAX_WAIT_MS = 2000
+# Changes that come together go out in one answer: each one costs all VMs a
+# message and its handling.
+GATHER_SECONDS = 0.1
 REOPEN_SECONDS = 0.3
 # Whoever has not heard of the leader for this long refers others elsewhere.
 OUT_OF_TOUCH_SECONDS = 1.5
@@ -570,6 +573,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_ms / 1000):
                 await self.changed.wait()
+            await asyncio.sleep(GATHER_SECONDS)
 
     async def _answer_renew(self, request: news.Renew) -> messages.Lent:
         """Lends shares of workspaces' rates to an entry VM.
--- a/tests/test_controlvm.py
+++ b/tests/test_controlvm.py
@@ -13,6 +13,7 @@
 from pollenseam import messages
 from pollenseam import news
 from pollenseam import peers
+from pollenseam import registry
 
 
 def settings_in(folder: pathlib.Path) -> controlvm.Settings:
@@ -55,6 +56,31 @@
     assert (await renewed("e2", True)).scarce is not None
 
 
+async def test_changes_that_come_together_go_out_in_one_answer(
+    tmp_path, monkeypatch
+):
+    """The load of a start: hundreds of upstreams announce themselves."""
+    monkeypatch.setattr(controlvm, "GATHER_SECONDS", 0.2)
+    log = events.open_log("c1", stream=io.StringIO())
+    own = controlvm.ControlVm(
+        settings_in(tmp_path), log, peers.Peers(log.clock)
+    )
+
+    def announce(index):
+        state = registry.SERVING
+        id = f"i{index}"
+        record = registry.Upstream(id, 1, 1, "s", id, "d1", 3, state)
+        own.recorded.record(index, 0, [record])
+        own._note_applied()
+
+    announce(1)
+    watch = asyncio.create_task(own._answer_watch(news.Watch(1, 1000, (0, 0))))
+    for index in range(2, 12):
+        await asyncio.sleep(0.005)
+        announce(index)
+    assert [c.index for c in (await watch).changes] == [*range(2, 12)]
+
+
 def entry(name: str) -> news.EntryVm:
     return news.EntryVm(name, 1, "127.0.0.1:2", "r1", "d1", True)
 
