While a leader is replaced, entry VMs use their part of each rate

Change: for 2.5 s after the lender's last word a VM uses its part of the rate (rate x 2.5 s and a fifth of the tolerance, over all VMs; parts of a token by chance). While it learns, a new leader lends what VMs that have reported leave of their part, from what the rate earned since the old leader was last heard of; what was used meanwhile is reported and counted.

--- a/src/pollenseam/buckets.py
+++ b/src/pollenseam/buckets.py
@@ -12,6 +12,8 @@
 RISE_COUNT = 4
 # A lender that has not answered for this long may have run out of tokens.
 INFORMED_SECONDS = 0.9
+# Another lender takes over within this time; meanwhile a VM uses its part.
+OUTAGE_SECONDS = 2.5
 
 
 class Lease:
@@ -144,6 +146,21 @@
         return self.rate
 
 
+class Overdraft:
+    """Tokens that a VM may use beyond a share.
+
+    Attributes:
+        informed: Tokens that the lender may not know of.
+        outage: Tokens that it may use while no lender answers.
+    """
+
+    __slots__ = ("informed", "outage")
+
+    def __init__(self, informed: float, outage: float) -> None:
+        self.informed = informed
+        self.outage = outage
+
+
 class Account:
     """What one VM holds and wants of one resource.
 
@@ -157,6 +174,7 @@
         overdraft_until: Time until which the lender allows overdrafts.
         informed_until: Time until which the lender's last word on the
             resource holds, whether or not a share is held.
+        informed_at: Time of that word.
     """
 
     __slots__ = (
@@ -168,6 +186,7 @@
         "reported",
         "overdraft_until",
         "informed_until",
+        "informed_at",
     )
 
     def __init__(self, now: float) -> None:
@@ -179,18 +198,22 @@
         self.reported = 0.0
         self.overdraft_until = now
         self.informed_until = now
+        self.informed_at = now
 
-    def take(self, most: float, now: float) -> bool:
+    def take(self, most: Overdraft, now: float) -> bool:
         """Takes a token of the share, or one beyond it while that is allowed.
 
         Args:
-            most: Tokens beyond the share that the lender may not know of.
+            most: What may be used beyond the share.
             now: Time in seconds.
         """
         if self.bucket.take(now):
             return True
-        is_known = self.is_lent(now) and now < self.overdraft_until
-        if not is_known or self.overdraft + self.reported + 1 > most:
+        if not self.is_lent(now) or now >= self.overdraft_until:
+            return False
+        is_outage = now >= self.informed_at + INFORMED_SECONDS
+        allowed = most.outage if is_outage else most.informed
+        if self.overdraft + self.reported + 1 > allowed:
             return False
         self.overdraft += 1
         return True
@@ -294,10 +317,11 @@
         """Takes in which resources allow no overdrafts; all others do."""
         low = set(scarce)
         for resource, account in self.accounts.items():
-            account.informed_until = now + INFORMED_SECONDS
+            account.informed_at = now
+            account.informed_until = now + OUTAGE_SECONDS
             account.overdraft_until = now
             if resource not in low:
-                account.overdraft_until = now + INFORMED_SECONDS
+                account.overdraft_until = now + OUTAGE_SECONDS
 
     def renew(
         self, resource: str, share: leases.Share, deadline: float, now: float
@@ -313,5 +337,5 @@
         account.reported = 0.0
         account.overdraft_until = now
         if not share.is_scarce:
-            account.overdraft_until = now + INFORMED_SECONDS
+            account.overdraft_until = now + OUTAGE_SECONDS
         return shrunk
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -41,7 +41,7 @@
 IDLE_SPARE_RATIO = 0.05
 BUSY_SPARE_RATIO = 0.05
 # An entry VM's share of a smaller burst runs out by chance.
-DRAWN_BURST = 4.0
+DRAWN_BURST = 3.0
 # Part of what a rate may be overdrawn by that is lent.
 SPARE_RATIO = 0.4
 NO_LIMIT = leases.Whole(0.0, 0.0)
@@ -279,7 +279,7 @@
         lender.idle_spare = IDLE_SPARE_RATIO
         lender.busy_spare = BUSY_SPARE_RATIO
         lender.drawn_burst = DRAWN_BURST
-        lender.unheard = {entry.name for entry in self.directory.entries}
+        lender.succeed(entry.name for entry in self.directory.entries)
 
     def _note_members(self) -> None:
         core = self.control.replica
@@ -604,11 +604,10 @@
         ]
         if request.is_whole:
             lender.hear(request.entry.name, now)
-        scarce = None
-        if not lender.is_learning(now):
-            scarce = lender.scarce(wholes, now)
-        self.metrics.renewals.add("learning" if scarce is None else "lent")
-        return messages.Lent(ttl_ms, "", shares, 0, scarce)
+        is_learning = lender.is_learning(now)
+        self.metrics.renewals.add("learning" if is_learning else "lent")
+        scarce = lender.scarce(wholes, now)
+        return messages.Lent(ttl_ms, "", shares, 0, scarce, is_learning)
 
     def _wholes(self) -> dict[str, leases.Whole]:
         """Returns what each limited workspace may use over all VMs."""
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -1,8 +1,10 @@
 """An entry VM: follows the registry, holds shares of rates, admits calls."""
 
 import asyncio
+import random
 import time
 
+from pollenseam import buckets
 from pollenseam import carrier
 from pollenseam import errors
 from pollenseam import events
@@ -29,6 +31,8 @@
 # Part of what a rate may be overdrawn by that entry VMs use unreported; the
 # lender hands out another part.
 OVERDRAFT_RATIO = 0.4
+# The same while no lender answers.
+OUTAGE_RATIO = 0.2
 
 
 class Settings:
@@ -381,11 +385,11 @@
             whole = leases.Whole(workspace.rate, workspace.burst)
             await self.shares.take(call.workspace, whole, most, deadline)
 
-    def _overdraft(self, workspace: items.Workspace) -> float:
+    def _overdraft(self, workspace: items.Workspace) -> buckets.Overdraft:
         """Returns what may be used beyond a share before it is reported."""
         whole = leases.Whole(workspace.rate, workspace.burst)
         spare = self.settings.tolerance.spare(whole)
-        return overdraft(spare, self.carrier.vms)
+        return overdraft(whole, spare, self.carrier.vms, random.random())
 
     def _count_reply(self, call: trips.Call, status: int) -> None:
         counted = self.metrics
@@ -440,14 +444,23 @@
         )
 
 
-def overdraft(spare: float, vms: int) -> float:
-    """Returns the requests that one VM may serve beyond its share unreported.
+def overdraft(
+    whole: leases.Whole, spare: float, vms: int, chance: float
+) -> buckets.Overdraft:
+    """Returns what one VM may use of a rate beyond its share.
+
+    While no lender answers that is its part of the rate; of a part of a token
+    some VMs have one and others none.
 
     Args:
-        spare: Requests by which all VMs together may overdraw a rate.
+        whole: What all VMs together may use.
+        spare: Requests by which they may overdraw it.
         vms: How many VMs there are.
+        chance: From 0 to 1, drawn anew each time.
     """
-    return max(1.0, OVERDRAFT_RATIO * spare / vms)
+    informed = max(1.0, OVERDRAFT_RATIO * spare / vms)
+    meanwhile = whole.rate * buckets.OUTAGE_SECONDS + OUTAGE_RATIO * spare
+    return buckets.Overdraft(informed, meanwhile / vms + chance)
 
 
 def _both(route: frozenset[str], workspace: frozenset[str]) -> frozenset[str]:
--- a/src/pollenseam/leases.py
+++ b/src/pollenseam/leases.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 LEASE_SECONDS = 4.0
@@ -179,10 +180,10 @@
         """Loses tokens that the free burst has no room for."""
         self.pool = min(self.pool, self.free(whole).burst)
 
-    def is_scarce(self) -> bool:
-        """Whether the pool has too little for overdrafts."""
+    def is_scarce(self, earned: float = 0.0) -> bool:
+        """Whether the pool, with what it earned, is too low for overdrafts."""
         ratio = DRAWN_SCARCE_RATIO if self.is_drawn else SCARCE_RATIO
-        return self.pool < max(1.0, ratio * self.whole.burst)
+        return self.pool + earned < max(1.0, ratio * self.whole.burst)
 
 
 class Lender:
@@ -193,6 +194,7 @@
             be in use; only reported ones are renewed until then.
         unheard: Names of VMs that may hold leases of the lender before and
             have not reported; learning ends once all have.
+        known: How many VMs there were in it at first.
         accounts: By resource.
         idle_spare: Part of what nobody demands that goes out evenly.
         busy_spare: Part of it that goes out by demand.
@@ -203,6 +205,7 @@
     __slots__ = (
         "learning_deadline",
         "unheard",
+        "known",
         "accounts",
         "idle_spare",
         "busy_spare",
@@ -222,6 +225,7 @@
         self.busy_spare = busy_spare
         self.drawn_burst = 0.0
         self.unheard: set[str] = set()
+        self.known = 0
         self.accounts: dict[str, Account] = {}
         self._scarce: list[str] = []
         self._scarce_until = 0.0
@@ -245,7 +249,7 @@
         """
         account = self.account(resource, whole, now)
         if self.is_learning(now):
-            return self._renew(account, holder, request, now)
+            return self._renew(account, holder, request, whole, now)
         account.fill(whole, now)
         held = _credible(request.held, account.grants.get(holder))
         deadline = now + LEASE_SECONDS + DRIFT_SECONDS
@@ -272,12 +276,18 @@
         account = self.accounts.get(resource)
         if account is None:
             account = self.accounts[resource] = Account(now)
+            if self.known and self.is_learning(now):
+                # Nothing was lent since the lender before was heard of.
+                span = LEASE_SECONDS + DRIFT_SECONDS
+                account.filled_at = self.learning_deadline - span
         account.whole = whole
         return account
 
     def scarce(self, wholes: Mapping[str, Whole], now: float) -> list[str]:
         """Returns the resources whose pools have too little for overdrafts.
 
+        While learning, pools have what VMs that reported leave of their part.
+
         Args:
             wholes: What each resource may use over the fleet now.
             now: Lender's time.
@@ -288,12 +298,19 @@
         self._scarce = []
         for resource, whole in wholes.items():
             account = self.account(resource, whole, now)
-            account.fill(whole, now)
-            account.clip(whole)
-            if account.is_scarce():
+            earned = self._earned(account, whole, now)
+            if not self.is_learning(now):
+                account.fill(whole, now)
+                account.clip(whole)
+            if account.is_scarce(earned):
                 self._scarce.append(resource)
         return self._scarce
 
+    def succeed(self, names: Iterable[str]) -> None:
+        """Takes over from a lender that these VMs may hold leases of."""
+        self.unheard = set(names)
+        self.known = len(self.unheard)
+
     def hear(self, name: str, now: float) -> None:
         """Notes that a VM has reported all leases that it holds."""
         if name in self.unheard:
@@ -302,16 +319,44 @@
                 self.learning_deadline = min(self.learning_deadline, now)
 
     def _renew(
-        self, account: Account, holder: str, request: Request, now: float
+        self,
+        account: Account,
+        holder: str,
+        request: Request,
+        whole: Whole,
+        now: float,
     ) -> Share:
         deadline = now + LEASE_SECONDS + DRIFT_SECONDS
         known = account.grants.get(holder)
         held = request.held if known is None else _credible(request.held, known)
         grant = Grant(held.rate, held.burst, request.demand, deadline)
         account.grants[holder] = grant
-        account.filled_at = now
         account.pool -= max(0.0, request.overdraft)
-        return Share(held.rate, held.burst)
+        earned = self._earned(account, whole, now)
+        wanted = min(request.wanted, account.pool + earned)
+        tokens = float(math.floor(max(0.0, wanted)))
+        account.pool -= tokens
+        grant.burst = max(held.burst, tokens)
+        share = Share(held.rate, grant.burst, tokens)
+        share.is_scarce = account.is_scarce(earned)
+        return share
+
+    def _earned(self, account: Account, whole: Whole, now: float) -> float:
+        """Returns what a pool has earned that is not yet filled in.
+
+        While learning, that is what VMs which reported leave of their part,
+        since the lender before was last heard of.
+        """
+        if not self.is_learning(now):
+            return 0.0
+        if not self.known:
+            account.filled_at = now
+            return 0.0
+        heard = 1 - len(self.unheard) / self.known
+        lent = sum(grant.rate for grant in account.grants.values())
+        elapsed = max(0.0, now - account.filled_at)
+        earned = elapsed * max(0.0, whole.rate * heard - lent)
+        return min(earned, account.free(whole).burst)
 
     def _divide(
         self, account: Account, holder: str, request: Request, whole: Whole
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -259,7 +259,8 @@
             0 when the sender cannot lend.
         leader: Address of the leader, if another replica was asked.
         scarce: Resources that allow no use beyond a share, all others do;
-            None when the sender does not know.
+            None when the sender does not say.
+        is_learning: Whether the sender does not know all leases yet.
     """
 
     ttl_ms: int
@@ -267,6 +268,7 @@
     shares: list[Share]
     logical: int
     scarce: list[str] | None = None
+    is_learning: bool = False
 
 
 class Vm(msgspec.Struct, array_like=True):
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -90,7 +90,8 @@
         now = self.now()
         self._informed_by = ""
         if answer.scarce is not None:
-            self._informed_by = self.leader
+            if not answer.is_learning:
+                self._informed_by = self.leader
             self.book.inform(answer.scarce, now)
         for share in answer.shares:
             granted = lending.granted(share)
@@ -121,7 +122,7 @@
         self,
         resource: str,
         whole: leases.Whole,
-        most: float,
+        most: buckets.Overdraft,
         deadline: float,
     ) -> None:
         """Takes a token, waiting a short while for one.
@@ -129,7 +130,7 @@
         Args:
             resource: Name of the workspace.
             whole: What it may use over all VMs.
-            most: Tokens beyond the share that the lender may not know of.
+            most: What may be used beyond the share.
             deadline: Time until which a token is of use.
 
         Raises:
--- a/tests/test_controlvm.py
+++ b/tests/test_controlvm.py
@@ -51,9 +51,9 @@
         request = news.Renew(entry(name), [ask], is_whole=is_whole)
         return await own._answer_renew(request)
 
-    assert (await renewed("e1", True)).scarce is None
-    assert (await renewed("e2", False)).scarce is None
-    assert (await renewed("e2", True)).scarce is not None
+    assert (await renewed("e1", True)).is_learning
+    assert (await renewed("e2", False)).is_learning
+    assert not (await renewed("e2", True)).is_learning
 
 
 async def test_changes_that_come_together_go_out_in_one_answer(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,6 @@
 """The sum of all shares never exceeds a rate and a burst."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -212,7 +213,7 @@
     )
     holders = [f"v{n}" for n in range(11)]
     books = {name: buckets.Account(0.0) for name in holders}
-    most = max(1.0, 0.4 * spare / len(holders))
+    most = entryvm.overdraft(rate, spare, len(holders), 0.0)
     served = refused = 0
     waiting: list[tuple[str, float]] = []
     for step in range(6000):
@@ -226,6 +227,7 @@
             account.overdraft_until = now
             if not share.is_scarce:
                 account.overdraft_until = now + buckets.INFORMED_SECONDS
+                account.informed_at = now
         if generator.random() < 12.0 / 1.6 / 100 and now > 5.0:
             account.demand.count += 1
             account.waiting += 1
@@ -252,7 +254,7 @@
     )
     holders = [f"v{n}" for n in range(11)]
     books = {name: buckets.Account(0.0) for name in holders}
-    most = max(1.0, 0.4 * spare / len(holders))
+    most = entryvm.overdraft(rate, spare, len(holders), 0.0)
     served = []
     for step in range(4400):
         now = step / 100
@@ -265,6 +267,7 @@
                 account.overdraft_until = now
                 if not share.is_scarce:
                     account.overdraft_until = now + buckets.INFORMED_SECONDS
+                account.informed_at = now
             if now > 10.0 and (step + place) % 3 == 0:
                 account.demand.count += 1
                 if account.take(most, now):
@@ -289,7 +292,7 @@
         self.limit = leases.Whole(rate, rate)
         spare = leases.Tolerance(5.0, 0.1, 20.0).spare(self.limit)
         self.lent = leases.Whole(rate, rate + controlvm.SPARE_RATIO * spare)
-        self.most = entryvm.overdraft(spare, vms)
+        self.spare = spare
         self.lender = leases.Lender(
             0.0, controlvm.IDLE_SPARE_RATIO, controlvm.BUSY_SPARE_RATIO
         )
@@ -305,10 +308,26 @@
         self.served: list[float] = []
         self.refused: list[float] = []
         self.asked = 0
+        self.outage = (math.inf, math.inf)
+
+    def lose_leader(self, at: float, until: float) -> None:
+        """Answers nothing meanwhile; then another lender starts."""
+        self.outage = (at, until)
+
+    def _fail_over(self, now: float) -> None:
+        ended = self.outage[0] + leases.LEASE_SECONDS + leases.DRIFT_SECONDS
+        self.lender = leases.Lender(
+            ended, controlvm.IDLE_SPARE_RATIO, controlvm.BUSY_SPARE_RATIO
+        )
+        self.lender.drawn_burst = controlvm.DRAWN_BURST
+        self.lender.succeed(f"v{place}" for place in range(len(self.books)))
+        self.outage = (math.inf, math.inf)
 
     def run(self, until: float, rates: Callable[[float], float]) -> None:
         for step in range(int(until * 100)):
             now = step / 100
+            if now >= self.outage[1]:
+                self._fail_over(now)
             self._deliver(now)
             for place, book in enumerate(self.books):
                 self._report(place, book, now)
@@ -340,15 +359,20 @@
         self.asked += len(requests)
 
         def arrive(then: float) -> None:
+            if then >= self.outage[0]:
+                return
             granted = {
                 name: self.lender.lend(name, f"v{place}", ask, self.lent, then)
                 for name, ask in requests.items()
             }
+            self.lender.hear(f"v{place}", then)
             scarce = list(self.lender.scarce({"w": self.lent}, then))
             self._send(then, lambda later: renew_all(later, granted, scarce))
 
         def renew_all(
-            later: float, granted: dict[str, leases.Share], scarce: list[str]
+            later: float,
+            granted: dict[str, leases.Share],
+            scarce: list[str],
         ) -> None:
             book.inform(scarce, later)
             for name, share in granted.items():
@@ -359,10 +383,16 @@
     def _send(self, now: float, act: Callable[[float], None]) -> None:
         self.mail.append((now + self.TRAVEL_SECONDS, len(self.mail), act))
 
+    def _take(self, account: buckets.Account, now: float) -> bool:
+        chance = self.generator.random()
+        vms = len(self.books)
+        most = entryvm.overdraft(self.limit, self.spare, vms, chance)
+        return account.take(most, now)
+
     def _arrive(self, now: float) -> None:
         account = self.generator.choice(self.books).accounts["w"]
         account.demand.count += 1
-        if account.waiting == 0 and account.take(self.most, now):
+        if account.waiting == 0 and self._take(account, now):
             self.served.append(now)
             return
         account.waiting += 1
@@ -371,7 +401,7 @@
     def _serve_waiting(self, now: float) -> None:
         left: list[tuple[buckets.Account, float]] = []
         for account, deadline in self.waiting:
-            if account.take(self.most, now):
+            if self._take(account, now):
                 account.waiting -= 1
                 self.served.append(now)
             elif now >= deadline:
@@ -408,6 +438,30 @@
     assert sum(s > 10.0 for s in served) >= 0.8 * rate * 10
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("rate, vms", [(9.6, 78), (207.0, 86), (12.0, 11)])
+def test_few_are_refused_while_another_leader_takes_over(rate, vms, seed):
+    """The load of calm workspaces while the leader is lost."""
+    fleet = ManyVms(rate, vms, seed)
+    fleet.lose_leader(8.0, 9.6)
+    fleet.run(20.0, lambda now: rate / 1.6 if now > 2.0 else 0.0)
+    lost = sum(8.0 < t < 13.0 for t in fleet.refused)
+    assert lost <= 0.15 * rate / 1.6 * 5.0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("start", [7.4, 8.2])
+@pytest.mark.parametrize("rate, vms", [(9.6, 78), (60.0, 86), (12.0, 11)])
+def test_a_flood_while_another_leader_takes_over(rate, vms, start, seed):
+    """The load of a workspace that floods just as the leader is lost."""
+    fleet = ManyVms(rate, vms, seed)
+    fleet.lose_leader(8.0, 9.6)
+    fleet.run(20.0, lambda now: rate / 1.6 * (7.5 if now > start else 1.0))
+    allowed = (rate * 5 + rate) * 1.1 + 20
+    served = fleet.served
+    assert max(sum(t <= s < t + 5 for s in served) for t in served) <= allowed
+
+
 def test_an_idle_workspace_costs_a_large_fleet_no_reports():
     """The load of many small workspaces: most are idle at most VMs."""
     fleet = ManyVms(9.6, 78, 1)
