--- a/src/pollenseam/explaining.py
+++ b/src/pollenseam/explaining.py
@@ -76,7 +76,8 @@
         return story
     story.before = _beliefs(story.own[0], merged)
     ids = {e.fields.get("upstream", "") for e in story.own} - {""}
-    story.upstreams = [e for e in merged if _concerns(e, ids)]
+    concerning = [e for e in merged if _concerns(e, ids)]
+    story.upstreams = sorted(concerning, key=lambda event: event.ts)
     story.change = _deciding_change(story.own, merged)
     return story
 
@@ -84,13 +85,17 @@
 def _beliefs(
     first: timeline.Event, merged: list[timeline.Event]
 ) -> list[timeline.Event]:
+    # Logical time starts anew with each boot; the VM's own clock does not.
+    earlier = [e for e in merged if e.vm == first.vm and e.ts <= first.ts]
+    earlier.sort(key=lambda event: event.ts)
     latest: dict[str, timeline.Event] = {}
-    for event in merged:
+    for event in earlier:
         kind = event.fields["event"]
-        is_earlier = event.vm == first.vm and event.logical < first.logical
-        if is_earlier and kind in BELIEFS:
+        if kind == "started":
+            latest.clear()
+        if kind in BELIEFS:
             latest[kind] = event
-    return sorted(latest.values(), key=timeline.Event.key)
+    return list(latest.values())
 
 
 def _concerns(event: timeline.Event, upstreams: set[str]) -> bool:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -4,6 +4,7 @@
 from pollenseam import explaining
 
 ENTRY = [
+    "ts=0 lt=7 vm=e1 event=settings-stale age_ms=6000",
     "ts=1 lt=1 vm=e1 event=started role=entry",
     "ts=2 lt=4 vm=e1 event=registry-in-force index=7",
     "ts=3 lt=9 vm=e1 event=registry-in-force index=8",
@@ -11,6 +12,7 @@
     "ts=5 lt=11 vm=e1 event=refused request=q1 settings_index=8",
     "ts=6 lt=12 vm=e1 event=registry-in-force index=9",
     "ts=6 lt=13 vm=e1 event=refused request=q2 settings_index=9",
+    "ts=9 lt=2 vm=e1 event=started role=later-boot",
     "Traceback (most recent call last):",
 ]
 CONTROL = [
@@ -29,6 +31,7 @@
     beliefs = {e.fields["event"]: e.fields for e in story.before}
     assert beliefs["registry-in-force"]["index"] == "8"
     assert beliefs["started"]["role"] == "entry"
+    assert "settings-stale" not in beliefs
     assert story.change.fields["index"] == "8"
     assert [e.fields["event"] for e in story.upstreams] == ["upstreams-lost"]
     assert story.unread == 1
