--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -456,7 +456,7 @@
         whole: What all VMs together may use.
         spare: Requests by which they may overdraw it.
         vms: How many VMs there are.
-        chance: From 0 to 1, drawn anew each time.
+        chance: From 0 to 1, drawn for each request.
     """
     informed = max(1.0, OVERDRAFT_RATIO * spare / vms)
     meanwhile = whole.rate * buckets.OUTAGE_SECONDS + OUTAGE_RATIO * spare
