--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -309,6 +309,7 @@
         self.refused: list[float] = []
         self.asked = 0
         self.outage = (math.inf, math.inf)
+        self.cut_at = math.inf
 
     def lose_leader(self, at: float, until: float) -> None:
         """Answers nothing meanwhile; then another lender starts."""
@@ -358,8 +359,10 @@
         requests = book.requests(now)
         self.asked += len(requests)
 
+        is_cut = now >= self.cut_at and place % 3 == 0
+
         def arrive(then: float) -> None:
-            if then >= self.outage[0]:
+            if then >= self.outage[0] or is_cut:
                 return
             granted = {
                 name: self.lender.lend(name, f"v{place}", ask, self.lent, then)
@@ -462,6 +465,18 @@
     assert max(sum(t <= s < t + 5 for s in served) for t in served) <= allowed
 
 
+@pytest.mark.parametrize("start", [8.0, 8.5])
+@pytest.mark.parametrize("rate, vms", [(9.6, 78), (207.0, 86), (46.0, 9)])
+def test_a_flood_on_both_sides_of_a_cut(rate, vms, start):
+    """The load of a workspace that floods as a third of the VMs is cut off."""
+    fleet = ManyVms(rate, vms, 1)
+    fleet.cut_at = 8.0
+    fleet.run(16.0, lambda now: rate / 1.6 * (7.5 if now > start else 1.0))
+    allowed = (rate * 5 + rate) * 1.1 + 20
+    served = fleet.served
+    assert max(sum(t <= s < t + 5 for s in served) for t in served) <= allowed
+
+
 def test_an_idle_workspace_costs_a_large_fleet_no_reports():
     """The load of many small workspaces: most are idle at most VMs."""
     fleet = ManyVms(9.6, 78, 1)
