--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -65,17 +65,12 @@
 
     def observe(self, value: str, seconds: float) -> None:
         """Records one latency under this value of the label."""
+        if value not in self.histograms and len(self.histograms) >= MAX_SERIES:
+            value = OTHER
         found = self.histograms.get(value)
         if found is None:
-            if len(self.histograms) >= MAX_SERIES:
-                value = OTHER
-            found = self.histograms.setdefault(
-                value,
-                histogram.HdrHistogram(
-                    LOWEST_MICROSECONDS,
-                    HIGHEST_MICROSECONDS,
-                    SIGNIFICANT_DIGITS,
-                ),
+            found = self.histograms[value] = histogram.HdrHistogram(
+                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
             )
         found.record_value(max(LOWEST_MICROSECONDS, int(seconds * 1e6)))
 
