Calls between VMs: bytes, outcomes and durations by method; large responses are logged

The incident's three hypotheses can't be told apart without them: no line said how large a response was, how long a call took on either side, or how long an entry VM took to apply an update. Metrics peer_calls_total, peer_bytes_total, peer_call_seconds, registry_apply_seconds; large-response on both sides; source-unreachable and registry-in-force with their duration.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -144,7 +144,7 @@
         self.unreported_ids: set[str] = set()
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
-        self.server = peers.Server(log.clock, peer_client.traffic)
+        self.server = peers.Server(log.clock, peer_client.traffic, log=log)
         self.replica_runner = self._open()
         self.proposer = proposer.Proposer(
             lambda: self.replica_runner, peer_client, self.now
@@ -420,7 +420,7 @@
         """Returns all metrics in the Prometheus text exposition format."""
         replica = self.replica_runner.replica
         states = [u.state for u in self.applied_registry.upstreams.values()]
-        return self.metrics.expose(
+        exposition = self.metrics.expose(
             {
                 "is_leader": self.replica_runner.is_leader,
                 "term": replica.hard_state.term,
@@ -434,6 +434,7 @@
                 "upstreams_serving": states.count(registry.SERVING),
             }
         )
+        return exposition + self.peers.traffic.expose()
 
     def is_leader_reachable(self) -> bool:
         """Whether the leader confirmed the local state recently enough.
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -73,7 +73,7 @@
         self.log = log
         self.tls = tls.open_files(daemon_flags)
         credentials = self.tls.credentials() if self.tls else None
-        self.peers = peers.Client(log.clock, credentials)
+        self.peers = peers.Client(log.clock, credentials, log)
         self.vm = vm.create_vm(daemon_flags, log, self.peers)
         self.submitter = submitter.Submitter(self.vm)
         self.gossiper = gossiper.Gossiper(self.vm)
@@ -93,7 +93,7 @@
         )
         read_credentials = self.tls.credentials if self.tls else None
         self.server = peers.Server(
-            log.clock, self.peers.traffic, read_credentials
+            log.clock, self.peers.traffic, read_credentials, log
         )
         self._web: web.Server | None = None
         self._listener: asyncio.Server | None = None
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -243,7 +243,13 @@
                 source, controlmessages.WATCH, request, timeout
             )
         except errors.UnreachableError as error:
-            self.log.emit("source-unreachable", source=source, why=str(error))
+            self.log.emit(
+                "source-unreachable",
+                source=source,
+                why=str(error),
+                index=self.registry.index,
+                seconds=self.now() - sent_at,
+            )
             return False
         if update.index < self.registry.index:
             self.log.emit("source-behind", source=source, index=update.index)
@@ -260,12 +266,15 @@
                 self.directory = update.directory
                 self.dispatcher.vm_count = max(1, len(self.directory.entries))
                 self._divide_cold_rates()
+        started_at = self.now()
         if update.image is not None:
             self.registry = registry.from_snapshot(update.image)
             self._rebuild_table()
             self._rebuild_pools()
+            self._record_applied("image", started_at)
         elif update.changes:
             self._apply_changes(update.changes)
+            self._record_applied("changes", started_at)
         self.freshness.record_age(sent_at, update.age_ms)
 
     def _apply_changes(self, changes: list[registry.Delta]) -> None:
@@ -273,8 +282,16 @@
         if any(change.changed_items for change in applied):
             self._rebuild_table()
         self._rebuild_pools()
-        if applied:
-            self.log.emit_often("registry-in-force", index=self.registry.index)
+
+    def _record_applied(self, content: str, started_at: float) -> None:
+        seconds = self.now() - started_at
+        self.metrics.apply_latencies.observe(content, seconds)
+        self.log.emit_often(
+            "registry-in-force",
+            index=self.registry.index,
+            content=content,
+            seconds=seconds,
+        )
 
     def _rebuild_table(self) -> None:
         self.table = routing.build(self.registry.items, self.table)
@@ -440,7 +457,7 @@
     def expose(self) -> str:
         """Returns all metrics in the text exposition format."""
         upstreams = sum(len(pool.upstreams) for pool in self.pools.values())
-        return self.metrics.expose(
+        exposition = self.metrics.expose(
             {
                 "in_flight": self.in_flight,
                 "is_ready": self.is_ready,
@@ -451,6 +468,7 @@
                 "entry_vms": len(self.directory.entries),
             }
         )
+        return exposition + self.peers.traffic.expose()
 
     def _record_refusal(
         self, call: calls.Call, refusal: errors.Refusal
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -171,7 +171,9 @@
         return web.json_response(body)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
-        return web.Response(text=self.vm.metrics.expose(self.vm.gauges()))
+        local_vm = self.vm
+        exposition = local_vm.metrics.expose(local_vm.gauges())
+        return web.Response(text=exposition + local_vm.peers.traffic.expose())
 
     async def _announce(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method != "POST":
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -36,15 +36,16 @@
             collections.Counter()
         )
 
-    def add(self, *values: str) -> None:
-        """Counts one event.
+    def add(self, *values: str, amount: int = 1) -> None:
+        """Counts one event, or increases the counter by `amount`.
 
         Args:
             *values: Values of the labels, in the order of `labels`.
+            amount: What to add.
         """
         if values not in self.counts and len(self.counts) >= MAX_SERIES:
             values = (OVERFLOW_VALUE,) * len(self.labels)
-        self.counts[values] += 1
+        self.counts[values] += amount
 
     def lines(self) -> Iterator[str]:
         """Yields the lines of the metric in the Prometheus text format."""
@@ -116,6 +117,8 @@
         attempts: Requests sent to upstreams, by service and outcome.
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
+        apply_latencies: Time to put a change of the registry in force, by
+            content of the response: "changes" or "image".
     """
 
     __slots__ = (
@@ -124,6 +127,7 @@
         "attempts",
         "latencies",
         "refusal_latencies",
+        "apply_latencies",
     )
 
     def __init__(self) -> None:
@@ -132,6 +136,7 @@
         self.attempts = Counter("tries_total", "service", "outcome")
         self.latencies = Summary("latency_seconds", "route")
         self.refusal_latencies = Summary("refusal_held_seconds", "kind")
+        self.apply_latencies = Summary("registry_apply_seconds", "content")
 
     def expose(self, gauges: dict[str, float]) -> str:
         """Returns all metrics in the Prometheus text format.
@@ -139,10 +144,13 @@
         Args:
             gauges: Values of gauges to include, by name without the prefix.
         """
-        parts = (self.answers, self.workspaces, self.attempts)
-        return _format_exposition(
-            gauges, [*parts, self.latencies, self.refusal_latencies]
+        counters = (self.answers, self.workspaces, self.attempts)
+        latencies = (
+            self.latencies,
+            self.refusal_latencies,
+            self.apply_latencies,
         )
+        return format_exposition(gauges, [*counters, *latencies])
 
 
 class ControlMetrics:
@@ -171,12 +179,18 @@
             gauges: Values of gauges to include, by name without the prefix.
         """
         parts = (self.calls, self.latencies, self.renewals, self.watches)
-        return _format_exposition(gauges, parts)
+        return format_exposition(gauges, parts)
 
 
-def _format_exposition(
+def format_exposition(
     gauges: dict[str, float], parts: Iterable[Counter | Summary]
 ) -> str:
+    """Returns gauges, counters and summaries in the Prometheus text format.
+
+    Args:
+        gauges: Values of gauges, by name without the prefix.
+        parts: Counters and summaries.
+    """
     lines = list(_format_gauges(gauges))
     for part in parts:
         lines += part.lines()
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import time
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -15,10 +16,13 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import messages
+from pollenseam import metrics
 
 SERVICE = "pollenseam.Peer"
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 MAX_CONCURRENT_CALLS = 512
+# Size above which a response is logged.
+LARGE_RESPONSE_BYTES = 32 * 1024
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -96,14 +100,46 @@
         sent_bytes: Bytes of messages sent, without framing.
         received_bytes: Bytes of messages received, without framing.
         calls: Calls made, plus messages sent in streams.
+        outcomes: Unary calls, by method, side ("client" or "server") and
+            outcome: "ok" or a gRPC status.
+        bytes: Bytes of messages, by method and direction.
+        latencies: Time from the request to the response or failure, at the
+            client, by method.
     """
 
-    __slots__ = ("sent_bytes", "received_bytes", "calls")
+    __slots__ = (
+        "sent_bytes",
+        "received_bytes",
+        "calls",
+        "outcomes",
+        "bytes",
+        "latencies",
+    )
 
     def __init__(self) -> None:
         self.sent_bytes = 0
         self.received_bytes = 0
         self.calls = 0
+        self.outcomes = metrics.Counter(
+            "peer_calls_total", "method", "side", "outcome"
+        )
+        self.bytes = metrics.Counter("peer_bytes_total", "method", "direction")
+        self.latencies = metrics.Summary("peer_call_seconds", "method")
+
+    def record_sent(self, method: str, size: int) -> None:
+        """Counts a message of `size` bytes that was sent."""
+        self.sent_bytes += size
+        self.bytes.add(method, "sent", amount=size)
+
+    def record_received(self, method: str, size: int) -> None:
+        """Counts a message of `size` bytes that was received."""
+        self.received_bytes += size
+        self.bytes.add(method, "received", amount=size)
+
+    def expose(self) -> str:
+        """Returns all metrics in the Prometheus text format."""
+        parts = (self.outcomes, self.bytes, self.latencies)
+        return metrics.format_exposition({}, parts)
 
 
 class Credentials:
@@ -133,14 +169,17 @@
         clock: Logical clock; its time is sent with every message.
         traffic: Counts of bytes and calls.
         credentials: Credentials for mutual TLS, or None for plain text.
+        log: Event log, or None.
     """
 
     def __init__(
         self,
         clock: events.LogicalClock,
         credentials: Credentials | None = None,
+        log: events.EventLog | None = None,
     ) -> None:
         self.clock = clock
+        self.log = log
         self.traffic = Traffic()
         self.credentials = credentials
         self._channels: dict[str, grpc.aio.Channel] = {}
@@ -164,15 +203,20 @@
         """
         request.logical = self.clock.tick()
         data = messages.encode(request)
-        self.traffic.sent_bytes += len(data)
+        self.traffic.record_sent(method.name, len(data))
         self.traffic.calls += 1
         stub = self._channel(address).unary_unary(f"/{SERVICE}/{method.name}")
+        started_at = time.monotonic()
         try:
-            raw = await stub(data, timeout=timeout_seconds)
+            raw: bytes = await stub(data, timeout=timeout_seconds)
         except grpc.aio.AioRpcError as error:
-            detail = f"{address}: {error.code().name.lower()}"
-            raise errors.UnreachableError(detail) from error
-        self.traffic.received_bytes += len(raw)
+            outcome = error.code().name.lower()
+            self._record_call(method.name, outcome, started_at)
+            raise errors.UnreachableError(f"{address}: {outcome}") from error
+        self._record_call(method.name, "ok", started_at)
+        self.traffic.record_received(method.name, len(raw))
+        seconds = time.monotonic() - started_at
+        _log_large(self.log, method, "client", address, len(raw), seconds)
         try:
             response = method.decode_response(raw)
         except msgspec.DecodeError as error:
@@ -180,6 +224,13 @@
         self.clock.observe(response.logical)
         return response
 
+    def _record_call(
+        self, method: str, outcome: str, started_at: float
+    ) -> None:
+        self.traffic.outcomes.add(method, "client", outcome)
+        seconds = time.monotonic() - started_at
+        self.traffic.latencies.observe(method, seconds)
+
     async def stream(
         self, address: str, method: Method, requests: AsyncIterator[Any]
     ) -> None:
@@ -202,7 +253,7 @@
         call = stub()
         closed = asyncio.create_task(_wait_closed(call))
         try:
-            await self._write_all(call, closed, requests)
+            await self._write_all(method, call, closed, requests)
         except grpc.aio.AioRpcError as error:
             raise errors.UnreachableError(f"{address}: {error}") from error
         finally:
@@ -211,6 +262,7 @@
 
     async def _write_all(
         self,
+        method: Method,
         call: Any,
         closed: asyncio.Task[None],
         requests: AsyncIterator[Any],
@@ -232,7 +284,7 @@
                 return
             request.logical = self.clock.tick()
             data = messages.encode(request)
-            self.traffic.sent_bytes += len(data)
+            self.traffic.record_sent(method.name, len(data))
             self.traffic.calls += 1
             await call.write(data)
 
@@ -276,12 +328,42 @@
         await call
 
 
+def _log_large(
+    log: events.EventLog | None,
+    method: Method,
+    side: str,
+    peer: str,
+    size: int,
+    seconds: float,
+) -> None:
+    """Logs a response above LARGE_RESPONSE_BYTES.
+
+    Args:
+        log: Event log, or None.
+        method: Method of the call.
+        side: "client" or "server".
+        peer: Address of the other side.
+        size: Bytes of the response.
+        seconds: Time since the request was sent (client) or received (server).
+    """
+    if log is not None and size > LARGE_RESPONSE_BYTES:
+        log.emit_often(
+            "large-response",
+            method=method.name,
+            side=side,
+            peer=peer,
+            bytes=size,
+            seconds=seconds,
+        )
+
+
 class Server:
     """Serves calls of other processes.
 
     Attributes:
         clock: Logical clock; its time is sent with every response.
         traffic: Counts of bytes and calls.
+        log: Event log, or None.
     """
 
     def __init__(
@@ -289,9 +371,11 @@
         clock: events.LogicalClock,
         traffic: Traffic,
         credentials: Callable[[], Credentials] | None = None,
+        log: events.EventLog | None = None,
     ) -> None:
         self.clock = clock
         self.traffic = traffic
+        self.log = log
         self._handlers: dict[str, Any] = {}
         self._credentials = credentials
         self._server = grpc.aio.server(
@@ -325,7 +409,7 @@
         context: grpc.aio.ServicerContext,
     ) -> bytes:
         async for data in requests:
-            self.traffic.received_bytes += len(data)
+            self.traffic.record_received(method.name, len(data))
             try:
                 request = method.decode_request(data)
             except msgspec.DecodeError as error:
@@ -343,19 +427,26 @@
         data: bytes,
         context: grpc.aio.ServicerContext,
     ) -> bytes:
-        self.traffic.received_bytes += len(data)
+        self.traffic.record_received(method.name, len(data))
         try:
             request = method.decode_request(data)
         except msgspec.DecodeError as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         self.clock.observe(request.logical)
+        started_at = time.monotonic()
         try:
             response: Any = await handler(request)
         except errors.PollenseamError as error:
+            self.traffic.outcomes.add(method.name, "server", "unavailable")
             await context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
         response.logical = self.clock.tick()
         raw = messages.encode(response)
-        self.traffic.sent_bytes += len(raw)
+        self.traffic.outcomes.add(method.name, "server", "ok")
+        self.traffic.record_sent(method.name, len(raw))
+        seconds = time.monotonic() - started_at
+        _log_large(
+            self.log, method, "server", context.peer(), len(raw), seconds
+        )
         return raw
 
     async def start(self, address: str) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import io
 
 import grpc.aio
 import pytest
@@ -89,3 +90,44 @@
     assert clock.time >= answer.logical
     await client.close()
     await server.stop(0)
+
+
+async def test_calls_are_counted_by_method_outcome_and_bytes():
+    address = f"127.0.0.1:{fleet.free_port()}"
+    server = await start_server(address, [])
+    client = peers.Client(events.LogicalClock())
+    await client.call(address, peers.READ, messages.ReadIndex(0), 5.0)
+    await server.stop(0)
+    with pytest.raises(errors.UnreachableError):
+        await client.call(address, peers.READ, messages.ReadIndex(0), 0.5)
+    await client.close()
+    counts = client.traffic.outcomes.counts
+    assert counts[("Read", "client", "ok")] == 1
+    assert counts.total() == 2
+    assert client.traffic.bytes.counts[("Read", "received")] > 0
+    assert 'pollenseam_peer_call_seconds_count{method="Read"} 2' in (
+        client.traffic.expose()
+    )
+
+
+async def test_a_large_response_is_logged_on_both_sides():
+    address = f"127.0.0.1:{fleet.free_port()}"
+    stream = io.StringIO()
+    log = events.open_log("v1", stream=stream)
+    server = peers.Server(log.clock, peers.Traffic(), log=log)
+
+    async def answer(request):
+        outcome = b"x" * (peers.LARGE_RESPONSE_BYTES + 1)
+        return messages.SubmitResponse(outcome, "", "", 0)
+
+    server.handle(peers.SUBMIT, answer)
+    await server.start(address)
+    client = peers.Client(log.clock, log=log)
+    await client.call(address, peers.SUBMIT, messages.Submit(b"", 0, 0), 5.0)
+    await client.close()
+    await server.stop(0)
+    lines = [events.parse_line(line) for line in stream.getvalue().splitlines()]
+    sides = {
+        line["side"] for line in lines if line["event"] == "large-response"
+    }
+    assert sides == {"client", "server"}
