Registry in pages: a large change reaches entry VMs on slow links

Cause: one Watch response carried the whole change or registry, within one call's time limit of 1.6 s (0.6 s for a start), and each retry began with the first byte. The response had 453,503 bytes: 1.81 s at 2 Mbit/s, without any traffic beside it. Freshness came with the same response, so it ran out.

Ruled out: slow sources (responses leave at once, busiest control VM 0.32 of 1.29 cores), compiling at the entry VM (nothing arrived to compile).

Class: a transfer whose size grows with the installation, under a time limit that doesn't, begun anew at each try, with liveness riding on it.

Change: a registry keeps its records in the order in which they last changed. A page has the records after a position, about 32 KiB; positions are the same on all replicas, so a transfer goes on at any source where it stopped, and a call's limit bounds a page. The copy changes when the last page has arrived, so no part of a change is in force alone. Documents, which only operators read, stay on control VMs. Responses above 1 KiB are gzip-compressed by gRPC. This replaces deltas and whole images: a VM that is behind gets each record once, in its latest state.

--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -69,17 +69,18 @@
 
 
 class Watch(msgspec.Struct, array_like=True):
-    """Request for changes of the registry after `index`.
+    """Request for changes of the registry.
 
     Attributes:
-        index: Index of the last change that the sender has; -1 requests no
-            changes.
+        index: Index as of which the sender knew everything when the transfer
+            in progress began; -1 requests no changes.
         wait_ms: Milliseconds that the receiver may wait for a change.
         directory: Version of the directory that the sender has.
         logical: Logical clock of the sender.
         control: Record of the sender if it is a control VM.
         announced_ids: Ids of upstreams that announced themselves to the
             sender since its last report.
+        after: Position of the last record that the sender has received.
     """
 
     index: int
@@ -88,21 +89,20 @@
     logical: int = 0
     control: ControlVm | None = None
     announced_ids: list[str] = []
+    after: registry.Position = registry.Position()
 
 
 class WatchResponse(msgspec.Struct, array_like=True):
     """Response to a Watch.
 
     Attributes:
-        index: Index up to which the response is complete.
+        index: Index of the sender's state.
         age_ms: Age in milliseconds of the sender's state at the time of the
             response; -1 if unknown.
         leader: Address of the leader, or "" if unknown.
         logical: Logical clock of the sender.
-        changes: Changes after the requested index; None if `image` is set or
-            no changes were requested.
-        image: The whole registry, if the changes are not available or the
-            requested index was 0.
+        page: Records after the requested position; None if no changes were
+            requested.
         directory: The directory, if its version differs from the requested
             one.
         is_member: Whether the replica of the control VM that sent the request
@@ -113,8 +113,7 @@
     age_ms: int
     leader: str
     logical: int = 0
-    changes: list[registry.Delta] | None = None
-    image: registry.Snapshot | None = None
+    page: registry.Page | None = None
     directory: Directory | None = None
     is_member: bool = True
 
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -27,6 +27,7 @@
 from pollenseam import peers
 from pollenseam import proposer
 from pollenseam import registry
+from pollenseam import registrysync
 from pollenseam import replicarunner
 from pollenseam import tasks
 from pollenseam import vm
@@ -41,6 +42,9 @@
 # Changes within this time are sent in one response, because each response
 # costs every VM a message and its processing.
 BATCH_SECONDS = 0.1
+# Compressed size above which a patch is refused. A link of 2 Mbit/s transfers
+# it in 1.25 s, half of the 2.5 s within which a change must be in force.
+MAX_PATCH_TRANSFER_BYTES = 312_500
 # Delay before the data folder is opened again after a disk error.
 REOPEN_SECONDS = 0.3
 # Age of the local state above which this VM refuses heartbeats of upstreams,
@@ -449,9 +453,17 @@
         """Changes configuration items; returns the log index of the change.
 
         Raises:
-            RefusedError: The patch is invalid.
+            RefusedError: The patch is invalid, or larger than
+                MAX_PATCH_TRANSFER_BYTES.
             UnreachableError: The outcome is not known by `deadline`.
         """
+        size = registry.encoded_size(patch)
+        if size > MAX_PATCH_TRANSFER_BYTES:
+            raise errors.refuse(
+                errors.Kind.BODY_TOO_LARGE,
+                f"the patch has {size} bytes compressed, above the limit of "
+                f"{MAX_PATCH_TRANSFER_BYTES}; send it in parts",
+            )
         outcome = await self.proposer.submit(
             commands.PatchItems(patch), deadline
         )
@@ -617,22 +629,17 @@
             is_member=is_member,
         )
         if request.index >= 0:
-            response.changes = self.applied_registry.deltas_since(request.index)
-            if response.changes is None or request.index == 0:
-                response.changes = None
-                response.image = self.applied_registry.snapshot()
+            response.page = registrysync.next_page(
+                self.applied_registry, request.index, request.after
+            )
         if request.directory != self.directory.version:
             response.directory = self.directory
         return response
 
     async def _wait_for_change(self, request: controlmessages.Watch) -> None:
-        last_index = max(request.index, 0)
         wait_ms = min(request.wait_ms, MAX_WAIT_MS)
-        if (
-            wait_ms <= 0
-            or last_index == 0
-            or self.applied_registry.index > last_index
-        ):
+        has_changed = self.applied_registry.index > request.index
+        if wait_ms <= 0 or request.index <= 0 or has_changed:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_ms / 1000):
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -16,6 +16,7 @@
 from pollenseam import metrics
 from pollenseam import peers
 from pollenseam import registry
+from pollenseam import registrysync
 from pollenseam import routing
 from pollenseam import shares
 from pollenseam import steering
@@ -106,7 +107,8 @@
         peers: Client for calls to other VMs.
         now: Returns the time since boot in seconds.
         started_ms: Start of this process, in Unix milliseconds.
-        registry: Items and upstreams in force on this VM.
+        receiver: Copy of the registry in force on this VM, and the transfer
+            in progress.
         directory: Control VMs and entry VMs of the fleet.
         table: Routes and keys, compiled from the registry's items.
         pools: Upstreams by service name.
@@ -131,7 +133,7 @@
         self.peers = peer_client
         self.now = vm.boot_seconds
         self.started_ms = time.time_ns() // 1_000_000
-        self.registry = registry.Registry()
+        self.receiver = registrysync.Receiver()
         self.directory = controlmessages.Directory()
         self.table = routing.Table()
         self.pools: dict[str, steering.Pool] = {}
@@ -174,6 +176,11 @@
         await self.dispatcher.close()
         await self.peers.close()
 
+    @property
+    def registry(self) -> registry.Registry:
+        """Items and upstreams in force on this VM."""
+        return self.receiver.registry
+
     @property
     def own_record(self) -> controlmessages.EntryVm:
         """This VM's record in the directory."""
@@ -232,9 +239,15 @@
         return min(addresses, key=lambda a: self._avoided_until[a])
 
     async def _watch_once(self, source: str) -> bool:
-        wait_ms = WATCH_WAIT_MS if self.freshness.as_of is not None else 0
+        receiver = self.receiver
+        wait_ms = WATCH_WAIT_MS
+        if receiver.is_transferring or self.freshness.as_of is None:
+            wait_ms = 0
         request = controlmessages.Watch(
-            self.registry.index, wait_ms, self.directory.version
+            receiver.base_index,
+            wait_ms,
+            self.directory.version,
+            after=receiver.position,
         )
         sent_at = self.now()
         timeout = wait_ms / 1000 + CALL_TIMEOUT_SECONDS
@@ -251,7 +264,7 @@
                 seconds=self.now() - sent_at,
             )
             return False
-        if update.index < self.registry.index:
+        if update.index < receiver.latest_index:
             self.log.emit("source-behind", source=source, index=update.index)
             return False
         self._apply_update(update, sent_at)
@@ -266,30 +279,29 @@
                 self.directory = update.directory
                 self.dispatcher.vm_count = max(1, len(self.directory.entries))
                 self._divide_cold_rates()
-        started_at = self.now()
-        if update.image is not None:
-            self.registry = registry.from_snapshot(update.image)
-            self._rebuild_table()
-            self._rebuild_pools()
-            self._record_applied("image", started_at)
-        elif update.changes:
-            self._apply_changes(update.changes)
-            self._record_applied("changes", started_at)
+        if update.page is None:
+            return
+        received = self.receiver.receive(update.page, update.index)
+        if received is None:
+            return
+        if received.is_whole or received.records:
+            self._apply_transfer(received)
         self.freshness.record_age(sent_at, update.age_ms)
 
-    def _apply_changes(self, changes: list[registry.Delta]) -> None:
-        applied = self.registry.apply_deltas(changes)
-        if any(change.changed_items for change in applied):
+    def _apply_transfer(self, update: registrysync.Update) -> None:
+        started_at = self.now()
+        if update.is_whole or update.has_items:
             self._rebuild_table()
         self._rebuild_pools()
-
-    def _record_applied(self, content: str, started_at: float) -> None:
         seconds = self.now() - started_at
+        content = "whole" if update.is_whole else "changes"
         self.metrics.apply_latencies.observe(content, seconds)
         self.log.emit_often(
             "registry-in-force",
             index=self.registry.index,
             content=content,
+            records=update.records,
+            pages=update.pages,
             seconds=seconds,
         )
 
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -118,7 +118,7 @@
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
         apply_latencies: Time to put a change of the registry in force, by
-            content of the response: "changes" or "image".
+            content of the transfer: "changes" or "whole".
     """
 
     __slots__ = (
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -21,6 +21,8 @@
 SERVICE = "pollenseam.Peer"
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 MAX_CONCURRENT_CALLS = 512
+# Size above which requests and responses of unary calls are compressed.
+COMPRESSED_BYTES = 1024
 # Size above which a response is logged.
 LARGE_RESPONSE_BYTES = 32 * 1024
 CHANNEL_OPTIONS = (
@@ -208,7 +210,9 @@
         stub = self._channel(address).unary_unary(f"/{SERVICE}/{method.name}")
         started_at = time.monotonic()
         try:
-            raw: bytes = await stub(data, timeout=timeout_seconds)
+            raw: bytes = await stub(
+                data, timeout=timeout_seconds, compression=_compression(data)
+            )
         except grpc.aio.AioRpcError as error:
             outcome = error.code().name.lower()
             self._record_call(method.name, outcome, started_at)
@@ -328,6 +332,12 @@
         await call
 
 
+def _compression(data: bytes) -> grpc.Compression:
+    if len(data) > COMPRESSED_BYTES:
+        return grpc.Compression.Gzip
+    return grpc.Compression.NoCompression
+
+
 def _log_large(
     log: events.EventLog | None,
     method: Method,
@@ -381,6 +391,7 @@
         self._server = grpc.aio.server(
             options=CHANNEL_OPTIONS,
             maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
+            compression=grpc.Compression.Gzip,
         )
 
     def handle(self, method: Method, handler: Handler) -> None:
@@ -441,6 +452,8 @@
             await context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
         response.logical = self.clock.tick()
         raw = messages.encode(response)
+        if len(raw) <= COMPRESSED_BYTES:
+            context.disable_next_message_compression()
         self.traffic.outcomes.add(method.name, "server", "ok")
         self.traffic.record_sent(method.name, len(raw))
         seconds = time.monotonic() - started_at
--- a/src/pollenseam/registry.py
+++ b/src/pollenseam/registry.py
@@ -1,16 +1,20 @@
 """The registry of items, upstreams and evacuations.
 
 Control VMs build the registry from the quorum log. Entry VMs keep a copy that
-they update by deltas.
+they update page by page, see `registrysync`.
 """
 
-import collections
+import zlib
+from collections.abc import Iterator
+from collections.abc import Sequence
 
 import msgspec
 
 from pollenseam import items
 
-MAX_DELTAS = 4096
+# Encoded size above which a page is complete. A page takes 0.13 s on a link of
+# 2 Mbit/s, so traffic on the same link hardly waits for it.
+PAGE_BYTES = 32 * 1024
 # Records of stopped and expired upstreams are kept for this time, so that a
 # delayed announcement does not add the upstream again.
 ENDED_RETENTION_MS = 120_000
@@ -20,6 +24,12 @@
 STOPPED = "gone"
 EXPIRED = "lost"
 
+UPSTREAM = "upstream"
+EVACUATION = "evacuation"
+
+
+_encode = msgspec.msgpack.Encoder().encode
+
 
 class Upstream(msgspec.Struct, array_like=True):
     """The latest record of one upstream instance.
@@ -63,22 +73,75 @@
     is_evacuated: bool
 
 
-class Delta(msgspec.Struct, array_like=True):
-    """The changes that one entry of the quorum log made to the registry."""
+class Position(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """Place of a record in the order in which records last changed.
+
+    Records that changed at the same index are ordered by kind and name. A
+    record that changes again moves to a later position. All replicas of the
+    log give a record the same position.
+
+    Attributes:
+        index: Index of the log entry that last changed the record.
+        kind: Kind of item, UPSTREAM or EVACUATION.
+        name: Name of the item, id of the upstream or name of the failure
+            domain.
+    """
+
+    index: int = 0
+    kind: str = ""
+    name: str = ""
+
 
-    index: int
+class Page(msgspec.Struct, array_like=True):
+    """Records that follow a position, oldest change first.
+
+    Attributes:
+        is_first: Whether the page begins with the first record of the
+            registry. The receiver drops the registry that it has, once the
+            last page has arrived.
+        is_last: Whether no records follow.
+        end: Position of the last record of the page, or the requested one if
+            there is none.
+        changed_items: Items, without documents.
+        upstreams: Upstreams.
+        evacuations: Evacuations.
+    """
+
+    is_first: bool
+    is_last: bool
+    end: Position
     changed_items: list[items.Item] = []
     upstreams: list[Upstream] = []
     evacuations: list[Evacuation] = []
 
+    def records(self) -> Iterator["Record"]:
+        """Yields all records of the page."""
+        yield from self.changed_items
+        yield from self.upstreams
+        yield from self.evacuations
+
+
+Record = items.Item | Upstream | Evacuation
+
 
 class Snapshot(msgspec.Struct, array_like=True):
-    """The complete content of a registry, as sent and stored."""
+    """The complete content of a registry, as stored on control VMs.
+
+    Attributes:
+        index: Index of the last change.
+        stored_items: All items.
+        upstreams: All upstreams.
+        evacuated: Names of evacuated failure domains.
+        positions: Positions of all records, in order.
+        compacted_index: See `Registry`.
+    """
 
     index: int = 0
     stored_items: list[items.Item] = []
     upstreams: list[Upstream] = []
     evacuated: list[str] = []
+    positions: list[Position] = []
+    compacted_index: int = 0
 
 
 class Registry:
@@ -90,8 +153,9 @@
         upstreams: Upstreams by id. Stopped and expired ones are kept for at
             least ENDED_RETENTION_MS.
         evacuated: Names of evacuated failure domains.
-        deltas: The latest MAX_DELTAS deltas, oldest first.
-        compacted_index: Index up to which deltas have been discarded.
+        positions: Position of each record by kind and name, in order.
+        compacted_index: Highest index at which a record changed that has been
+            deleted since. A copy that is older may still have such a record.
     """
 
     __slots__ = (
@@ -99,7 +163,7 @@
         "items",
         "upstreams",
         "evacuated",
-        "deltas",
+        "positions",
         "compacted_index",
     )
 
@@ -108,7 +172,7 @@
         self.items: items.Items = {}
         self.upstreams: dict[str, Upstream] = {}
         self.evacuated: set[str] = set()
-        self.deltas: collections.deque[Delta] = collections.deque()
+        self.positions: dict[tuple[str, str], Position] = {}
         self.compacted_index = 0
 
     # Called on control VMs only.
@@ -122,15 +186,14 @@
         changed = items.select_newer(self.items, patch)
         if changed:
             items.validate_patch(self.items, changed)
-            self._commit(Delta(index, changed_items=changed))
+            self._commit(index, changed)
 
     def set_evacuation(
         self, index: int, failure_domain: str, is_evacuated: bool
     ) -> None:
         """Starts or ends the evacuation of a failure domain."""
         if (failure_domain in self.evacuated) != is_evacuated:
-            evacuation = Evacuation(failure_domain, is_evacuated)
-            self._commit(Delta(index, evacuations=[evacuation]))
+            self._commit(index, [Evacuation(failure_domain, is_evacuated)])
 
     def record_upstreams(
         self, index: int, clock_ms: int, records: list[Upstream]
@@ -150,7 +213,7 @@
             if record.state == SERVING:
                 changed += self._superseded_by(record, clock_ms)
         if changed:
-            self._commit(Delta(index, upstreams=changed))
+            self._commit(index, changed)
         self._delete_ended(clock_ms)
 
     def is_update(self, record: Upstream) -> bool:
@@ -206,65 +269,102 @@
         ]
         for id in ended:
             del self.upstreams[id]
-
-    def _commit(self, delta: Delta) -> None:
-        self._apply(delta)
-        self.deltas.append(delta)
-        while len(self.deltas) > MAX_DELTAS:
-            self.compacted_index = self.deltas.popleft().index
-
-    # Called on all VMs.
-
-    def _apply(self, delta: Delta) -> None:
-        for item in delta.changed_items:
-            self.items[item.identity] = item
-        for record in delta.upstreams:
+            position = self.positions.pop((UPSTREAM, id))
+            self.compacted_index = max(self.compacted_index, position.index)
+
+    def _commit(self, index: int, changed: Sequence[Record]) -> None:
+        """Stores changed records and moves them to the end of the order."""
+        for record in changed:
+            self.store(record)
+        names = {_kind_and_name(record) for record in changed}
+        for kind, name in sorted(names):
+            self.positions.pop((kind, name), None)
+            self.positions[kind, name] = Position(index, kind, name)
+        self.index = index
+
+    # Copies on other VMs.
+
+    def store(self, record: Record) -> None:
+        """Stores one record, without a position."""
+        if isinstance(record, items.Item):
+            self.items[record.identity] = record
+        elif isinstance(record, Upstream):
             self.upstreams[record.id] = record
-        for evacuation in delta.evacuations:
-            if evacuation.is_evacuated:
-                self.evacuated.add(evacuation.failure_domain)
-            else:
-                self.evacuated.discard(evacuation.failure_domain)
-        self.index = delta.index
-
-    def deltas_since(self, index: int) -> list[Delta] | None:
-        """Returns the deltas after `index`, oldest first.
-
-        The result is None if some of them have been discarded.
-        """
-        if index < self.compacted_index:
-            return None
-        newer: list[Delta] = []
-        for delta in reversed(self.deltas):
-            if delta.index <= index:
+        elif record.is_evacuated:
+            self.evacuated.add(record.failure_domain)
+        else:
+            self.evacuated.discard(record.failure_domain)
+
+    def page_after(self, after: Position) -> Page:
+        """Returns the records that follow a position, up to PAGE_BYTES."""
+        page = Page(after == Position(), True, after, [], [], [])
+        size = 0
+        for position in self._positions_after(after):
+            if size >= PAGE_BYTES:
+                page.is_last = False
+                break
+            size += _append_record(page, self._record_at(position))
+            page.end = position
+        return page
+
+    def _positions_after(self, after: Position) -> list[Position]:
+        newer: list[Position] = []
+        for position in reversed(self.positions.values()):
+            if position <= after:
                 break
-            newer.append(delta)
+            newer.append(position)
         newer.reverse()
         return newer
 
-    def apply_deltas(self, deltas: list[Delta]) -> list[Delta]:
-        """Applies deltas of another registry.
-
-        Deltas that are not later than the registry are skipped.
-
-        Returns:
-            The deltas that were applied.
-        """
-        later = [d for d in deltas if d.index > self.index]
-        for delta in later:
-            self._apply(delta)
-        return later
+    def _record_at(self, position: Position) -> Record:
+        if position.kind == UPSTREAM:
+            return self.upstreams[position.name]
+        if position.kind == EVACUATION:
+            is_evacuated = position.name in self.evacuated
+            return Evacuation(position.name, is_evacuated)
+        return self.items[position.kind, position.name]
 
     def snapshot(self) -> Snapshot:
-        """Returns the complete content, without deltas."""
+        """Returns the complete content."""
         return Snapshot(
             self.index,
             list(self.items.values()),
             list(self.upstreams.values()),
             sorted(self.evacuated),
+            list(self.positions.values()),
+            self.compacted_index,
         )
 
 
+def _kind_and_name(record: Record) -> tuple[str, str]:
+    if isinstance(record, items.Item):
+        return record.identity
+    if isinstance(record, Upstream):
+        return UPSTREAM, record.id
+    return EVACUATION, record.failure_domain
+
+
+def _append_record(page: Page, record: Record) -> int:
+    """Appends a record to a page; returns its encoded size in bytes."""
+    if isinstance(record, items.Item):
+        # Only control VMs need the document: operators read it there.
+        record = msgspec.structs.replace(record, document=b"")
+        page.changed_items.append(record)
+    elif isinstance(record, Upstream):
+        page.upstreams.append(record)
+    else:
+        page.evacuations.append(record)
+    return len(_encode(record))
+
+
+def encoded_size(changed_items: list[items.Item]) -> int:
+    """Returns the compressed size in bytes of items as sent to entry VMs."""
+    page = Page(False, True, Position(), [], [], [])
+    for item in changed_items:
+        _append_record(page, item)
+    return len(zlib.compress(_encode(page)))
+
+
 def _announced_fields(record: Upstream) -> tuple[str, str, str, int, str]:
     return (
         record.service,
@@ -276,11 +376,12 @@
 
 
 def from_snapshot(snapshot: Snapshot) -> Registry:
-    """Returns a registry with the content of a snapshot and no deltas."""
+    """Returns a registry with the content of a snapshot."""
     registry = Registry()
     registry.index = snapshot.index
-    registry.compacted_index = snapshot.index
+    registry.compacted_index = snapshot.compacted_index
     registry.items = {item.identity: item for item in snapshot.stored_items}
     registry.upstreams = {record.id: record for record in snapshot.upstreams}
     registry.evacuated = set(snapshot.evacuated)
+    registry.positions = {(p.kind, p.name): p for p in snapshot.positions}
     return registry
