Registry: an upstream's stop is recorded whatever its sequence

Cause: the notice has no sequence, so ControlVm.leave took the one after that of its own copy. A heartbeat of a cold upstream is recorded too and takes that sequence; is_update then dropped the stop, and it was acknowledged all the same.

Evidence: the three records in that order, applied on, leave the upstream serving; now they stop it.

Change: a stop is final for its start and wins over any sequence. The same class, an acknowledgement of what was dropped, sought elsewhere and mended: a stop of a start that this replica hasn't seen (it recorded the start before, so a late announcement of the new one brought the upstream back), a stop of an unknown upstream, and one that names no start on a replica that is behind. Looked at and sound: select_newer (lower versions lose by contract, equal ones with other content are refused), evacuations (set to a state), draining (the sender's own sequences order it), expiry (not acknowledged to anyone).

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -527,16 +527,13 @@
             UnreachableError: The stop could not be recorded by `deadline`.
         """
         known = self.applied_registry.upstreams.get(id)
-        if known is None:
+        if known is None or not started_ms:
+            # This replica may not have applied the latest start yet.
             await self.proposer.read_barrier(deadline)
             known = self.applied_registry.upstreams.get(id)
-        if known is None or known.state == registry.STOPPED:
+        record = registry.stop_record(id, started_ms, known)
+        if record is None or not self.applied_registry.is_update(record):
             return
-        if started_ms and known.started_ms > started_ms:
-            return
-        record = msgspec.structs.replace(
-            known, state=registry.STOPPED, sequence=known.sequence + 1
-        )
         await self.proposer.submit(commands.RecordUpstreams([record]), deadline)
         self.log.emit("upstream", id=id, state=record.state)
 
--- a/src/pollenseam/registry.py
+++ b/src/pollenseam/registry.py
@@ -226,12 +226,18 @@
         if current is None:
             return not self._is_superseded(record)
         if record.started_ms != current.started_ms:
-            is_later = record.started_ms > current.started_ms
-            return is_later and not self._is_superseded(record)
+            if record.started_ms < current.started_ms:
+                return False
+            return record.state == STOPPED or not self._is_superseded(record)
         if record.state == EXPIRED:
             is_latest = record.sequence >= current.sequence
             return current.state in (SERVING, LEAVING) and is_latest
-        if current.state == STOPPED or record.sequence <= current.sequence:
+        if current.state == STOPPED:
+            return False
+        if record.state == STOPPED:
+            # A stop is final, and its sequence is a guess: the notice has none.
+            return True
+        if record.sequence <= current.sequence:
             return False
         if current.state == LEAVING and record.state == SERVING:
             # An instance that is leaving serves again only after a restart.
@@ -365,6 +371,34 @@
     return len(zlib.compress(_encode(page)))
 
 
+def stop_record(
+    id: str, started_ms: int, known: Upstream | None
+) -> Upstream | None:
+    """Returns the record of an upstream that gave notice of its stop.
+
+    The record is kept for an unknown upstream too: an announcement that was
+    delayed may follow the notice.
+
+    Args:
+        id: Id of the upstream.
+        started_ms: Start of the upstream in Unix milliseconds; 0 if not known.
+        known: The latest record of the upstream, or None.
+
+    Returns:
+        The record, or None if neither a record nor the start is known.
+    """
+    if known is not None:
+        return msgspec.structs.replace(
+            known,
+            started_ms=started_ms or known.started_ms,
+            state=STOPPED,
+            sequence=known.sequence + 1,
+        )
+    if not started_ms:
+        return None
+    return Upstream(id, started_ms, 0, "", "", "", 0, STOPPED)
+
+
 def _announced_fields(record: Upstream) -> tuple[str, str, str, int, str]:
     return (
         record.service,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -37,6 +37,49 @@
     assert state_of(current) == registry.LEAVING
 
 
+def test_a_stop_is_recorded_although_a_heartbeat_took_its_sequence():
+    """Guards against a notice of a stop that is acknowledged and dropped.
+
+    A cold upstream's heartbeats are recorded, and its notice has no sequence.
+    """
+    current = registry.Registry()
+    current.record_upstreams(1, 0, [upstream(sequence=4)])
+    stop = registry.stop_record("i1", 1, current.upstreams["i1"])
+    current.record_upstreams(2, 0, [upstream(sequence=5, cold_ms=900)])
+    current.record_upstreams(3, 0, [upstream(sequence=6, cold_ms=400)])
+    current.record_upstreams(4, 0, [stop])
+    assert state_of(current) == registry.STOPPED
+    current.record_upstreams(5, 0, [upstream(sequence=7)])
+    assert state_of(current) == registry.STOPPED
+
+
+def test_a_stop_holds_against_announcements_that_arrive_after_it():
+    """Guards against an upstream that serves again after its stop.
+
+    The notice came before any announcement of that start was recorded.
+    """
+    current = registry.Registry()
+    current.record_upstreams(1, 0, [upstream(started_ms=1)])
+    stop = registry.stop_record("i1", 2, current.upstreams["i1"])
+    current.record_upstreams(2, 0, [stop])
+    current.record_upstreams(3, 0, [upstream(started_ms=2, sequence=9)])
+    assert state_of(current) == registry.STOPPED
+    current.record_upstreams(4, 0, [registry.stop_record("i2", 2, None)])
+    other = upstream("i2", started_ms=2, address="10.0.0.2:80")
+    current.record_upstreams(5, 0, [other])
+    assert state_of(current, "i2") == registry.STOPPED
+    assert registry.stop_record("i3", 0, None) is None
+
+
+def test_a_stop_of_an_earlier_start_does_not_stop_a_later_one():
+    current = registry.Registry()
+    current.record_upstreams(1, 0, [upstream(started_ms=1)])
+    stop = registry.stop_record("i1", 1, current.upstreams["i1"])
+    current.record_upstreams(2, 0, [upstream(started_ms=2)])
+    current.record_upstreams(3, 0, [stop])
+    assert state_of(current) == registry.SERVING
+
+
 def test_a_restart_under_the_same_id_begins_a_new_sequence():
     current = registry.Registry()
     current.record_upstreams(
