Planned stop: idle connections are closed before the last requests finish

Cause: after the directory's cached answers had expired, a stopping VM closed its listening socket only. Kept connections went on being read as long as any other request was in flight, and what came then could not be finished in what was left.

Ruled out: the earlier finding, a request in the last 0.05 s; it is covered now too, as no connection is idle and open by then.

Change: with the listening socket, idle connections are closed, and busy ones after the request in progress. aiohttp's pre_shutdown leaves idle connections open, unread (tried: the test still failed), so httpserver.HttpServer knows which are busy.

Test: test_a_planned_stop_closes_idle_connections_before_it_ends fails on the commit before (the connection stays open until the other request is answered).

--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import defopt
-from aiohttp import web
 
 from pollenseam import admission
 from pollenseam import bootstrap
@@ -22,6 +21,7 @@
 from pollenseam import forwarder
 from pollenseam import frontend
 from pollenseam import gossiper
+from pollenseam import httpserver
 from pollenseam import idempotency
 from pollenseam import journal
 from pollenseam import keys
@@ -40,7 +40,6 @@
 # Time for connections to close once their requests have finished.
 CLOSE_GRACE_SECONDS = 0.5
 KEEP_ALIVE_SECONDS = 75.0
-BACKLOG = 1024
 # Time for the first renewals after the leases of an old leader have expired.
 FIRST_LEASE_MARGIN_SECONDS = 1.0
 # Net allocations that trigger a garbage collection of the youngest generation.
@@ -95,8 +94,12 @@
         self.server = peers.Server(
             log.clock, self.peers.traffic, read_credentials, log
         )
-        self._web: web.Server | None = None
-        self._listener: asyncio.Server | None = None
+        self._http_server = httpserver.HttpServer(
+            self.frontend.handle,
+            KEEP_ALIVE_SECONDS,
+            frontend.MAX_HEAD_FIELD_BYTES,
+            frontend.MAX_HEADERS,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._bootstrap: bootstrap.Bootstrap | None = None
 
@@ -213,25 +216,9 @@
 
     async def _listen(self) -> None:
         host, port = flags.split_address(self.flags.caller_address)
-        self._web = web.Server(
-            self.frontend.handle,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=KEEP_ALIVE_SECONDS,
-            max_line_size=frontend.MAX_HEAD_FIELD_BYTES,
-            max_field_size=frontend.MAX_HEAD_FIELD_BYTES,
-            max_headers=frontend.MAX_HEADERS,
-        )
-        loop = asyncio.get_running_loop()
+        context = self.tls.server_context() if self.tls else None
         try:
-            self._listener = await loop.create_server(
-                self._web,
-                host,
-                port,
-                backlog=BACKLOG,
-                ssl=self.tls.server_context() if self.tls else None,
-            )
+            await self._http_server.listen(host, port, context)
         except OSError as error:
             raise errors.FlagError(
                 f"--caller-address: cannot bind {self.flags.caller_address}: "
@@ -265,8 +252,7 @@
         self.log.emit("stopping", in_flight=local_vm.in_flight)
         await self.gossiper.broadcast_state()
         await self._wait_for_lookup_expiry(deadline)
-        if self._listener is not None:
-            self._listener.close()
+        self._http_server.stop_accepting()
         await self._drain_requests(deadline)
         await self.idempotency_handler.drain(deadline)
         await self.renewer.release()
@@ -294,8 +280,7 @@
     async def _drain_requests(self, deadline: float) -> None:
         while self.vm.in_flight > 0 and self.vm.now() < deadline:
             await asyncio.sleep(0.02)
-        if self._web is not None:
-            await self._web.shutdown(timeout=CLOSE_GRACE_SECONDS)
+        await self._http_server.close(CLOSE_GRACE_SECONDS)
 
     async def _close(self) -> None:
         for task in self._tasks:
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -8,6 +8,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import shutil
 import signal
 import sys
@@ -164,6 +165,35 @@
         )
 
 
+class RawConnection:
+    """A kept connection of a caller to an entry VM."""
+
+    def __init__(self, cluster, reader, writer):
+        self.cluster = cluster
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, cluster, entry_index=0):
+        ip = cluster.entry_vms[entry_index].ip
+        return cls(cluster, *await asyncio.open_connection(ip, 7104))
+
+    async def exchange(self, path="/a/1", key="k1"):
+        """Sends a request; returns the head and body of the answer."""
+        self.cluster.request_count += 1
+        lines = [
+            f"GET {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Request-Id: q{self.cluster.request_count}",
+            "X-Deadline-Ms: 3000",
+            f"Authorization: Bearer {key}",
+        ]
+        self.writer.write("\r\n".join([*lines, "", ""]).encode())
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        [length] = re.findall(rb"(?i)content-length: (\d+)", head)
+        return head + await self.reader.readexactly(int(length))
+
+
 class Cluster:
     """Control VMs, entry VMs, stub upstreams and an HTTP client session."""
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -194,6 +194,31 @@
     assert await cluster.entry_vms[0].process.wait() == 0
 
 
+async def test_a_planned_stop_closes_idle_connections_before_it_ends(cluster):
+    """Guards against a request that a stopping VM reads and cannot complete.
+
+    It came on an idle connection late in the grace period, while another
+    request was still in flight, and was cut off at the end.
+    """
+    await cluster.patch(2, timeout_s=5.0)
+    server = await cluster.add_server("i-1")
+    await wait_until_served(cluster)
+    connection = await machines.RawConnection.open(cluster)
+    assert b"200 OK" in await connection.exchange()
+    server.delay_seconds = 4.0
+    count = len(server.received_requests)
+    running = asyncio.create_task(
+        cluster.request(headers={"X-Deadline-Ms": "5000"})
+    )
+    await cluster.wait_until(lambda: has_received(server, count + 1))
+    cluster.entry_vms[0].process.send_signal(signal.SIGTERM)
+    assert await connection.reader.read() == b""
+    assert not running.done()
+    assert (await running)[0] == 200
+    assert await cluster.entry_vms[0].process.wait() == 0
+    connection.writer.close()
+
+
 async def test_metrics_count_answers_refusals_and_calls(cluster):
     await cluster.add_server("i-1")
     await wait_until_served(cluster)
