Endless answers of upstreams: bounded in size, in time and in memory together

Worked out, not run: replies were bounded at 32 MiB each but not together, so seven of them exceed the 200 MB of a grown entry VM.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -12,6 +12,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
+from pollenseam import replybuffers
 from pollenseam import retries
 from pollenseam import sessions
 from pollenseam import steering
@@ -20,7 +21,6 @@
 
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 MIN_RETRY_AFTER_SECONDS = 0.05
 # A call is refused when less time is left than the expected wait and this part
 # of the expected work, the least that the work is assumed to need.
@@ -40,6 +40,7 @@
         retry_slack: Retries per window beyond that, over all entry VMs.
         retry_window_seconds: Length of the retry budgets' window.
         retry_budgets: Retry budgets by service name.
+        reply_buffers: Bodies of replies that are being received.
         session: HTTP client session for all upstreams.
     """
 
@@ -61,6 +62,7 @@
         self.retry_slack = retry_slack
         self.retry_window_seconds = retry_window_seconds
         self.retry_budgets: dict[str, retries.Budget] = {}
+        self.reply_buffers = replybuffers.ReplyBuffers()
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS
         )
@@ -172,6 +174,7 @@
         """
         upstream = choice.upstream
         started = self.now()
+        response = None
         try:
             async with asyncio.timeout_at(
                 vm.loop_deadline(active_call.deadline)
@@ -194,7 +197,7 @@
             )
             return None
         except TimeoutError:
-            self._record_timeout(choice)
+            self._record_timeout(upstream, response is not None)
             self._record_attempt(
                 active_call, upstream, "no-answer-in-time", started, ""
             )
@@ -206,9 +209,15 @@
             self._record_broken(active_call, upstream, started, repr(error))
             return None
 
-    def _record_timeout(self, choice: steering.Choice) -> None:
-        if choice.upstream.is_unreachable(self.now()):
-            choice.upstream.record_unreachable(self.now())
+    def _record_timeout(
+        self, upstream: upstreamstats.UpstreamStats, has_head: bool
+    ) -> None:
+        now = self.now()
+        if has_head:
+            # The upstream is alive, but its reply does not end.
+            upstream.record_error(now)
+        elif upstream.is_unreachable(now):
+            upstream.record_unreachable(now)
 
     def _record_broken(
         self,
@@ -257,7 +266,7 @@
         is_complete = False
         try:
             head = self.protocol.read_head(active_call.call, response)
-            body = await _read_body(response)
+            body = await self.reply_buffers.read(response)
             is_complete = head.matches_request or head.is_not_run
         finally:
             # A connection that may still carry response data must not be
@@ -290,7 +299,7 @@
             )
             return None
         reply = calls.Reply(
-            response.status, response.reason, response.headers, body
+            response.status, response.reason, response.headers, bytes(body)
         )
         return self._evaluate_reply(active_call, choice, reply, started)
 
@@ -420,19 +429,3 @@
             arrivals=active_call.deliveries,
             why=why or None,
         )
-
-
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Returns a response's complete body.
-
-    Raises:
-        ValueError: The body is larger than MAX_RESPONSE_BYTES.
-    """
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise ValueError(
-                f"the response is larger than {MAX_RESPONSE_BYTES} bytes"
-            )
-    return bytes(body)
--- a/src/pollenseam/sessions.py
+++ b/src/pollenseam/sessions.py
@@ -15,26 +15,64 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBE_COUNT = 2
+# Bytes of a response that are not part of its body: head, chunk framing and
+# trailers. The parser skips some of them, such as chunk extensions, without a
+# limit of its own.
+MAX_OVERHEAD_BYTES = 256 * 1024
+# Chunks of one byte have six bytes of framing.
+MAX_OVERHEAD_RATIO = 8
 
 
 class _ResponseHandler(client_proto.ResponseHandler):
-    """Reports a connection reset in the middle of a body as an error.
+    """Checks for failures of a response that aiohttp does not report.
 
-    For a body without a declared length, aiohttp takes any end of the
-    connection as the end of the body. After a reset, part of the body may be
-    missing.
+    A reset in the middle of a body: for a body without a declared length,
+    aiohttp takes any end of the connection as the end of the body. After a
+    reset, part of the body may be missing.
+
+    Bytes without end that are not part of the body, see MAX_OVERHEAD_BYTES.
+
+    Attributes:
+        received_bytes: Bytes of the current response.
+        body: Body of the current response, or None before its head.
     """
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.received_bytes = 0
+        self.body: aiohttp.StreamReader | None = None
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepares for the response to the next request."""
+        self.received_bytes = 0
+        self.body = None
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes; closes the connection if they have no end."""
+        super().data_received(data)
+        self.received_bytes += len(data)
+        if self._payload is not None:
+            self.body = self._payload
+        body_bytes = 0 if self.body is None else self.body.total_bytes
+        overhead = self.received_bytes - body_bytes
+        if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * body_bytes:
+            self._fail("the response has too many bytes outside its body")
+            if self.transport is not None:
+                self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError(
-                    "connection reset before the end of the body"
-                )
-            )
+        """Ends the response; after a reset, as an error."""
+        if exc is not None:
+            self._fail("connection reset before the end of the body")
         super().connection_lost(exc)
 
+    def _fail(self, why: str) -> None:
+        """Fails the body if it is not complete."""
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(why))
+
 
 def enable_dead_peer_detection(sock: socket.socket) -> None:
     """Makes the kernel close a connection whose peer no longer answers.
