Fetch: a large settings tree comes in parts, and the time limit is for progress

peers.Client.call_in_parts reads a response in messages of 32 KiB and waits for each. A source that dies in the middle still costs the whole transfer; the tree has no positions as the registry has.

--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -202,7 +202,7 @@
     def _register_handlers(self) -> None:
         server = self.server
         server.handle(peers.GOSSIP, self.gossiper.answer)
-        server.handle(peers.FETCH, self.follower.answer_fetch)
+        server.handle_in_parts(peers.FETCH, self.follower.answer_fetch)
         server.handle(peers.SUBMIT, self.submitter.answer_submit)
         server.handle(peers.READ, self.submitter.answer_read)
         server.handle(peers.LEND, self.renewer.answer)
--- a/src/pollenseam/follower.py
+++ b/src/pollenseam/follower.py
@@ -132,11 +132,12 @@
         sent_at = local_vm.now()
         as_of_before = local_vm.freshness.as_of
         try:
-            response = await local_vm.peers.call(
+            response = await local_vm.peers.call_in_parts(
                 source,
                 peers.FETCH,
                 request,
                 wait_ms / 1000 + CALL_TIMEOUT_SECONDS,
+                CALL_TIMEOUT_SECONDS,
             )
         except errors.UnreachableError:
             return False
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -23,6 +23,8 @@
 MAX_CONCURRENT_CALLS = 512
 # Size above which requests and responses of unary calls are compressed.
 COMPRESSED_BYTES = 1024
+# Size of the parts of a large response.
+PART_BYTES = 32 * 1024
 # Size above which a response is logged.
 LARGE_RESPONSE_BYTES = 32 * 1024
 CHANNEL_OPTIONS = (
@@ -218,9 +220,61 @@
             self._record_call(method.name, outcome, started_at)
             raise errors.UnreachableError(f"{address}: {outcome}") from error
         self._record_call(method.name, "ok", started_at)
-        self.traffic.record_received(method.name, len(raw))
         seconds = time.monotonic() - started_at
         _log_large(self.log, method, "client", address, len(raw), seconds)
+        return self._decode(address, method, raw)
+
+    async def call_in_parts(
+        self,
+        address: str,
+        method: Method,
+        request: Any,
+        first_seconds: float,
+        next_seconds: float,
+    ) -> Any:
+        """Makes one call whose response may be large, and returns it.
+
+        Sets the `logical` field of the request. The response comes in parts of
+        PART_BYTES, and the time limits are for its progress: a slow link takes
+        longer for it, and a broken one is still noticed.
+
+        Args:
+            address: Address of the process to call.
+            method: Method to call, served by `Server.handle_in_parts`.
+            request: Request message.
+            first_seconds: Time to wait for the first part.
+            next_seconds: Time to wait for each further part.
+
+        Raises:
+            UnreachableError: No part came in time, or the response is not
+                valid.
+        """
+        request.logical = self.clock.tick()
+        data = messages.encode(request)
+        self.traffic.record_sent(method.name, len(data))
+        self.traffic.calls += 1
+        stub = self._channel(address).unary_stream(f"/{SERVICE}/{method.name}")
+        started_at = time.monotonic()
+        call = stub(data)
+        outcome = "ok"
+        try:
+            raw = await _read_parts(call, first_seconds, next_seconds)
+        except grpc.aio.AioRpcError as error:
+            outcome = error.code().name.lower()
+        except TimeoutError:
+            outcome = "deadline_exceeded"
+        finally:
+            call.cancel()
+            self._record_call(method.name, outcome, started_at)
+        if outcome != "ok":
+            raise errors.UnreachableError(f"{address}: {outcome}")
+        seconds = time.monotonic() - started_at
+        _log_large(self.log, method, "client", address, len(raw), seconds)
+        return self._decode(address, method, raw)
+
+    def _decode(self, address: str, method: Method, raw: bytes) -> Any:
+        """Decodes and counts a response; takes over its logical time."""
+        self.traffic.record_received(method.name, len(raw))
         try:
             response = method.decode_response(raw)
         except msgspec.DecodeError as error:
@@ -327,6 +381,26 @@
                 await channel.close()
 
 
+async def _read_parts(
+    call: Any, first_seconds: float, next_seconds: float
+) -> bytes:
+    """Returns a response that is sent in parts.
+
+    Raises:
+        TimeoutError: A part did not come in time.
+        AioRpcError: The call failed.
+    """
+    raw = bytearray()
+    seconds = first_seconds
+    while True:
+        async with asyncio.timeout(seconds):
+            part = await call.read()
+        if part is grpc.aio.EOF:
+            return bytes(raw)
+        raw += part
+        seconds = next_seconds
+
+
 async def _wait_closed(call: Any) -> None:
     with contextlib.suppress(grpc.aio.AioRpcError):
         await call
@@ -431,6 +505,15 @@
             handler(request)
         return messages.encode(Empty())
 
+    def handle_in_parts(self, method: Method, handler: Handler) -> None:
+        """Registers a handler whose responses may be large.
+
+        Clients use `Client.call_in_parts`. The rest is as in `handle`.
+        """
+        self._handlers[method.name] = grpc.unary_stream_rpc_method_handler(
+            functools.partial(self._serve_parts, method, handler)
+        )
+
     async def _serve_unary(
         self,
         method: Method,
@@ -438,6 +521,32 @@
         data: bytes,
         context: grpc.aio.ServicerContext,
     ) -> bytes:
+        raw = await self._answer(method, handler, data, context)
+        if len(raw) <= COMPRESSED_BYTES:
+            context.disable_next_message_compression()
+        return raw
+
+    async def _serve_parts(
+        self,
+        method: Method,
+        handler: Handler,
+        data: bytes,
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[bytes]:
+        raw = await self._answer(method, handler, data, context)
+        for start in range(0, len(raw), PART_BYTES):
+            if len(raw) <= COMPRESSED_BYTES:
+                context.disable_next_message_compression()
+            yield raw[start : start + PART_BYTES]
+
+    async def _answer(
+        self,
+        method: Method,
+        handler: Handler,
+        data: bytes,
+        context: grpc.aio.ServicerContext,
+    ) -> bytes:
+        """Returns the encoded response to an encoded request."""
         self.traffic.record_received(method.name, len(data))
         try:
             request = method.decode_request(data)
@@ -452,8 +561,6 @@
             await context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
         response.logical = self.clock.tick()
         raw = messages.encode(response)
-        if len(raw) <= COMPRESSED_BYTES:
-            context.disable_next_message_compression()
         self.traffic.outcomes.add(method.name, "server", "ok")
         self.traffic.record_sent(method.name, len(raw))
         seconds = time.monotonic() - started_at
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -4,16 +4,23 @@
 import contextlib
 import io
 import random
+import time
+import types
 
 import slowlink
 import test_items
 
+from pollenseam import catalog
 from pollenseam import controlmessages
 from pollenseam import controlvm
 from pollenseam import entryvm
 from pollenseam import events
+from pollenseam import follower
+from pollenseam import freshness
 from pollenseam import leases
 from pollenseam import peers
+from pollenseam import settings
+from pollenseam import tree
 from pollenseam.standins import fleet
 
 # Half of a link of 2 Mbit/s; callers' traffic has the other half.
@@ -154,3 +161,54 @@
         site.patch([route(n) for n in range(1400)])
         await site.wait_in_force()
         assert site.link.accepted > 1
+
+
+def large_tree():
+    """Returns a settings tree that a slow link takes seconds to transfer."""
+    source = tree.Tree()
+    source.index = 1
+    writes = []
+    for n in range(5000):
+        # Digests cannot be compressed to less than half.
+        digest = random.Random(n).randbytes(32).hex()
+        path = f"/teams/t/workspaces/w/keys/k{n}"
+        writes.append(tree.Write(path, settings.Key(digest)))
+    source.write(writes)
+    return source
+
+
+def vm_with(own_tree, client):
+    """Returns a stand-in for a VM with the attributes a follower uses."""
+    return types.SimpleNamespace(
+        tree=own_tree,
+        freshness=freshness.Freshness(),
+        settings_age_ms=lambda: 5,
+        activate_settings=lambda: None,
+        flags=types.SimpleNamespace(vm="v1"),
+        replica_runner=None,
+        catalog=catalog.Catalog({}),
+        now=time.monotonic,
+        peers=client,
+    )
+
+
+async def test_a_large_settings_tree_is_fetched_over_a_slow_link():
+    """Guards against a time limit on a whole transfer that grows.
+
+    A VM that starts then never gets the settings, however often it tries.
+    """
+    address = f"127.0.0.1:{fleet.free_port()}"
+    log = events.open_log("c1", stream=io.StringIO())
+    source = follower.Follower(vm_with(large_tree(), None))
+    server = peers.Server(log.clock, peers.Traffic())
+    server.handle_in_parts(peers.FETCH, source.answer_fetch)
+    await server.start(address)
+    link = slowlink.SlowLink(address, BYTES_PER_SECOND)
+    await link.start()
+    client = peers.Client(log.clock)
+    local_vm = vm_with(tree.Tree(), client)
+    assert await follower.Follower(local_vm)._fetch(link.address)
+    assert local_vm.tree.nodes == source.vm.tree.nodes
+    await client.close()
+    await link.stop()
+    await server.stop(0)
