Stand-in fleets: a port is claimed, and none of the ephemeral range

Seen three times in setups of tests/test_fleet.py: a daemon ended with 'cannot bind: address already in use'. free_port returned a port of the ephemeral range that was free at that moment; any outgoing connection or other test process could take it before the daemon bound it.

--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -294,6 +294,8 @@
             self._rebuild_table()
         self._rebuild_pools()
         seconds = self.now() - started_at
+        if not update.records:
+            return
         content = "whole" if update.is_whole else "changes"
         self.metrics.apply_latencies.observe(content, seconds)
         self.log.emit_often(
--- a/src/pollenseam/standins/fleet.py
+++ b/src/pollenseam/standins/fleet.py
@@ -1,8 +1,10 @@
 """Runs daemons and stand-in upstreams as processes on loopback."""
 
+import itertools
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -329,21 +331,41 @@
         time.sleep(0.05)
 
 
-_returned_ports: set[int] = set()
+# Below the ports that Linux gives to outgoing connections (32768 and above).
+FREE_PORTS = range(12_000, 32_000)
+# Address at which processes claim ports from each other; nothing listens here.
+CLAIM_HOST = "127.255.255.254"
+
+# Sockets that hold this process's claims, by port.
+_claims: dict[int, socket.socket] = {}
 
 
 def free_port() -> int:
-    """Returns a port that is free now and was not returned before.
+    """Returns a port that is free and that no other process is given.
+
+    The port is claimed until this process ends.
 
-    Another process may take the port before the caller binds it.
+    Raises:
+        OSError: No port is left.
     """
-    while True:
-        with socket.socket() as listener:
-            listener.bind((HOST, 0))
-            port = int(listener.getsockname()[1])
-        if port not in _returned_ports:
-            _returned_ports.add(port)
+    offset = random.randrange(len(FREE_PORTS))
+    for port in itertools.chain(FREE_PORTS[offset:], FREE_PORTS[:offset]):
+        if port not in _claims and _claim_port(port):
             return port
+    raise OSError("no port is left")
+
+
+def _claim_port(port: int) -> bool:
+    claim = socket.socket()
+    try:
+        claim.bind((CLAIM_HOST, port))
+        with socket.socket() as listener:
+            listener.bind((HOST, port))
+    except OSError:
+        claim.close()
+        return False
+    _claims[port] = claim
+    return True
 
 
 def make_vm_specs(
