--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -4,6 +4,8 @@
 crashed, restarted and replaced.
 """
 
+import random
+
 import fakes
 import pytest
 from hypothesis import stateful
@@ -262,3 +264,50 @@
         <= new.core.quorum_leader_contact_at
         <= isolated_at + 0.2
     )
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("count", [6, 9])
+def test_two_lost_disks_while_all_others_lose_power_lose_no_entry(count, seed):
+    """Guards against an acknowledgement that too few disks hold.
+
+    Two of the disks that hold the newest entry are lost at the moment of its
+    acknowledgement; all other replicas, learners too, lose power.
+    """
+    ids = [f"c{n}" for n in range(count)]
+    cluster = fakes.Cluster(ids, seed)
+    cluster.heal_and_run(5.0)
+    add_learner(cluster, "learner")
+    chance = random.Random(seed)
+    leader = cluster.leader()
+    for id in chance.sample(ids, 2):
+        if id != leader.id:
+            cluster.blocked_links |= {(leader.id, id), (id, leader.id)}
+    cluster.propose(leader.id)
+    index = leader.core.log.last_index
+    while index not in cluster.applied_entries:
+        cluster.step()
+    entry = cluster.applied_entries[index]
+    holders = [id for id in ids if index_on_disk(cluster, id) >= index]
+    for id in cluster.nodes:
+        cluster.crash(id)
+    cluster.in_flight.clear()
+    for id in chance.sample(holders, 2):
+        del cluster.nodes[id]
+    cluster.heal_and_run(10.0)
+    assert cluster.leader() is not None
+    assert cluster.leader().core.applied_index >= index
+    assert cluster.applied_entries[index] == entry
+    commit(cluster)
+
+
+def add_learner(cluster, id):
+    learner = fakes.Node(id, messages.Members({}))
+    cluster.nodes[id] = learner
+    learner.start(cluster.now)
+    voters = dict(cluster.leader().core.members.voters)
+    change(cluster, messages.Members(voters, {id: f"at-{id}"}))
+
+
+def index_on_disk(cluster, id):
+    return cluster.nodes[id].disk.log.last_index
