--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -16,7 +16,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import messages
-from pollenseam import metrics
+from pollenseam import traffic
 
 SERVICE = "pollenseam.Peer"
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -25,8 +25,6 @@
 COMPRESSED_BYTES = 1024
 # Size of the parts of a large response.
 PART_BYTES = 32 * 1024
-# Size above which a response is logged.
-LARGE_RESPONSE_BYTES = 32 * 1024
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -97,55 +95,6 @@
 PROBE = Method("Probe", messages.IdentityRequest, messages.IdentityResponse)
 
 
-class Traffic:
-    """Counts of the bytes and calls exchanged with other processes.
-
-    Attributes:
-        sent_bytes: Bytes of messages sent, without framing.
-        received_bytes: Bytes of messages received, without framing.
-        calls: Calls made, plus messages sent in streams.
-        outcomes: Unary calls, by method, side ("client" or "server") and
-            outcome: "ok" or a gRPC status.
-        bytes: Bytes of messages, by method and direction.
-        latencies: Time from the request to the response or failure, at the
-            client, by method.
-    """
-
-    __slots__ = (
-        "sent_bytes",
-        "received_bytes",
-        "calls",
-        "outcomes",
-        "bytes",
-        "latencies",
-    )
-
-    def __init__(self) -> None:
-        self.sent_bytes = 0
-        self.received_bytes = 0
-        self.calls = 0
-        self.outcomes = metrics.Counter(
-            "peer_calls_total", "method", "side", "outcome"
-        )
-        self.bytes = metrics.Counter("peer_bytes_total", "method", "direction")
-        self.latencies = metrics.Summary("peer_call_seconds", "method")
-
-    def record_sent(self, method: str, size: int) -> None:
-        """Counts a message of `size` bytes that was sent."""
-        self.sent_bytes += size
-        self.bytes.add(method, "sent", amount=size)
-
-    def record_received(self, method: str, size: int) -> None:
-        """Counts a message of `size` bytes that was received."""
-        self.received_bytes += size
-        self.bytes.add(method, "received", amount=size)
-
-    def expose(self) -> str:
-        """Returns all metrics in the Prometheus text format."""
-        parts = (self.outcomes, self.bytes, self.latencies)
-        return metrics.format_exposition({}, parts)
-
-
 class Credentials:
     """Credentials for mutual TLS between VMs, in PEM format.
 
@@ -184,7 +133,7 @@
     ) -> None:
         self.clock = clock
         self.log = log
-        self.traffic = Traffic()
+        self.traffic = traffic.Traffic()
         self.credentials = credentials
         self._channels: dict[str, grpc.aio.Channel] = {}
 
@@ -205,10 +154,7 @@
             UnreachableError: No valid response came within the time-out; the
                 call may have been carried out.
         """
-        request.logical = self.clock.tick()
-        data = messages.encode(request)
-        self.traffic.record_sent(method.name, len(data))
-        self.traffic.calls += 1
+        data = self._encode(method, request)
         stub = self._channel(address).unary_unary(f"/{SERVICE}/{method.name}")
         started_at = time.monotonic()
         try:
@@ -221,7 +167,9 @@
             raise errors.UnreachableError(f"{address}: {outcome}") from error
         self._record_call(method.name, "ok", started_at)
         seconds = time.monotonic() - started_at
-        _log_large(self.log, method, "client", address, len(raw), seconds)
+        traffic.log_large(
+            self.log, method.name, "client", address, len(raw), seconds
+        )
         return self._decode(address, method, raw)
 
     async def call_in_parts(
@@ -249,10 +197,7 @@
             UnreachableError: No part came in time, or the response is not
                 valid.
         """
-        request.logical = self.clock.tick()
-        data = messages.encode(request)
-        self.traffic.record_sent(method.name, len(data))
-        self.traffic.calls += 1
+        data = self._encode(method, request)
         stub = self._channel(address).unary_stream(f"/{SERVICE}/{method.name}")
         started_at = time.monotonic()
         call = stub(data)
@@ -269,9 +214,19 @@
         if outcome != "ok":
             raise errors.UnreachableError(f"{address}: {outcome}")
         seconds = time.monotonic() - started_at
-        _log_large(self.log, method, "client", address, len(raw), seconds)
+        traffic.log_large(
+            self.log, method.name, "client", address, len(raw), seconds
+        )
         return self._decode(address, method, raw)
 
+    def _encode(self, method: Method, request: Any) -> bytes:
+        """Encodes and counts a request; sets its logical time."""
+        request.logical = self.clock.tick()
+        data = messages.encode(request)
+        self.traffic.record_sent(method.name, len(data))
+        self.traffic.calls += 1
+        return data
+
     def _decode(self, address: str, method: Method, raw: bytes) -> Any:
         """Decodes and counts a response; takes over its logical time."""
         self.traffic.record_received(method.name, len(raw))
@@ -340,11 +295,7 @@
             request: Any = None if closed.done() else next_request.result()
             if request is None:
                 return
-            request.logical = self.clock.tick()
-            data = messages.encode(request)
-            self.traffic.record_sent(method.name, len(data))
-            self.traffic.calls += 1
-            await call.write(data)
+            await call.write(self._encode(method, request))
 
     def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channels.get(address)
@@ -412,35 +363,6 @@
     return grpc.Compression.NoCompression
 
 
-def _log_large(
-    log: events.EventLog | None,
-    method: Method,
-    side: str,
-    peer: str,
-    size: int,
-    seconds: float,
-) -> None:
-    """Logs a response above LARGE_RESPONSE_BYTES.
-
-    Args:
-        log: Event log, or None.
-        method: Method of the call.
-        side: "client" or "server".
-        peer: Address of the other side.
-        size: Bytes of the response.
-        seconds: Time since the request was sent (client) or received (server).
-    """
-    if log is not None and size > LARGE_RESPONSE_BYTES:
-        log.emit_often(
-            "large-response",
-            method=method.name,
-            side=side,
-            peer=peer,
-            bytes=size,
-            seconds=seconds,
-        )
-
-
 class Server:
     """Serves calls of other processes.
 
@@ -453,7 +375,7 @@
     def __init__(
         self,
         clock: events.LogicalClock,
-        traffic: Traffic,
+        traffic: traffic.Traffic,
         credentials: Callable[[], Credentials] | None = None,
         log: events.EventLog | None = None,
     ) -> None:
@@ -564,8 +486,8 @@
         self.traffic.outcomes.add(method.name, "server", "ok")
         self.traffic.record_sent(method.name, len(raw))
         seconds = time.monotonic() - started_at
-        _log_large(
-            self.log, method, "server", context.peer(), len(raw), seconds
+        traffic.log_large(
+            self.log, method.name, "server", context.peer(), len(raw), seconds
         )
         return raw
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,12 +11,13 @@
 from pollenseam import events
 from pollenseam import messages
 from pollenseam import peers
+from pollenseam import traffic
 from pollenseam.standins import fleet
 
 
 async def start_server(address, received):
     clock = events.LogicalClock()
-    server = peers.Server(clock, peers.Traffic())
+    server = peers.Server(clock, traffic.Traffic())
     server.handle_stream(peers.DELIVER, received.append)
 
     async def answer(request):
@@ -114,10 +115,10 @@
     address = f"127.0.0.1:{fleet.free_port()}"
     stream = io.StringIO()
     log = events.open_log("v1", stream=stream)
-    server = peers.Server(log.clock, peers.Traffic(), log=log)
+    server = peers.Server(log.clock, traffic.Traffic(), log=log)
 
     async def answer(request):
-        outcome = b"x" * (peers.LARGE_RESPONSE_BYTES + 1)
+        outcome = b"x" * (traffic.LARGE_RESPONSE_BYTES + 1)
         return messages.SubmitResponse(outcome, "", "", 0)
 
     server.handle(peers.SUBMIT, answer)
