--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -16,14 +16,13 @@
 from pollenseam import peers
 from pollenseam import quorumlog
 from pollenseam import replica
+from pollenseam import snapshots
 from pollenseam import state
 
 SNAPSHOT_INTERVAL_ENTRIES = 8192
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
 MAX_BATCH_MESSAGES = 64
 MAX_QUEUED_MESSAGES = 1024
 RECONNECT_DELAY_SECONDS = 0.05
-SNAPSHOT_CHUNK_TIMEOUT_SECONDS = 3.0
 MAX_PENDING_PROPOSALS = 10_000
 
 Clock = Callable[[], float]
@@ -53,23 +52,6 @@
         self.future = future
 
 
-class IncomingSnapshot:
-    """A snapshot that this replica is receiving in chunks.
-
-    Attributes:
-        leader: Id of the leader that sends it.
-        index: Index of the last entry that the snapshot covers.
-        data: The chunks received so far.
-    """
-
-    __slots__ = ("leader", "index", "data")
-
-    def __init__(self, leader: str, index: int) -> None:
-        self.leader = leader
-        self.index = index
-        self.data = bytearray()
-
-
 class ReplicaRunner:
     """Runs one replica: carries out what its consensus core decides.
 
@@ -119,11 +101,10 @@
         self._pending: dict[int, Proposal] = {}
         self._queues: dict[str, asyncio.Queue[messages.AnyMessage]] = {}
         self._sender_tasks: dict[str, asyncio.Task[None]] = {}
-        self._snapshot_tasks: dict[str, asyncio.Task[None]] = {}
-        self._snapshot_responses: dict[
-            str, asyncio.Queue[messages.InstallResponse]
-        ] = {}
-        self._incoming_snapshot: IncomingSnapshot | None = None
+        self._snapshot_sender = snapshots.Sender(
+            core, storage, self._enqueue, self.wake, log, now
+        )
+        self._incoming_snapshot = snapshots.Incoming("", 0)
         self._wake_event = asyncio.Event()
         self._confirmed_event = asyncio.Event()
         self._last_role = ("", 0, "")
@@ -293,11 +274,9 @@
         except (OSError, errors.DamagedError) as error:
             self._fail(str(error))
         finally:
-            for task in [
-                *self._sender_tasks.values(),
-                *self._snapshot_tasks.values(),
-            ]:
+            for task in self._sender_tasks.values():
                 task.cancel()
+            self._snapshot_sender.cancel()
             self.journal.close()
 
     def _fail(self, reason: str) -> None:
@@ -319,9 +298,7 @@
             message = self._inbox.popleft()
             self.replica.receive(message, now)
             if isinstance(message, messages.InstallResponse):
-                responses = self._snapshot_responses.get(message.follower)
-                if responses is not None:
-                    responses.put_nowait(message)
+                self._snapshot_sender.receive(message)
             elif isinstance(message, messages.InstallSnapshot):
                 self._add_chunk(message)
         self.replica.tick(now)
@@ -407,7 +384,7 @@
                 self._wake_event.set()
         self._enqueue(ready.messages)
         for id in ready.snapshot_receivers:
-            self._start_snapshot(id)
+            self._snapshot_sender.start(id)
         if ready.committed_entries:
             self._apply(ready.committed_entries)
             self._wake_event.set()
@@ -521,82 +498,20 @@
         # does not have yet.
         return self.replica.address(id) or self.reported_addresses.get(id, "")
 
-    # Sending snapshots.
-
-    def _start_snapshot(self, id: str) -> None:
-        current = self._snapshot_tasks.get(id)
-        if current is None or current.done():
-            task = asyncio.create_task(self._send_snapshot(id))
-            self._snapshot_tasks[id] = task
-
-    async def _send_snapshot(self, id: str) -> None:
-        header, data = await asyncio.to_thread(self.journal.read_snapshot)
-        responses: asyncio.Queue[messages.InstallResponse] = asyncio.Queue()
-        self._snapshot_responses[id] = responses
-        try:
-            if header is not None and await self._send_chunks(
-                id, header, data, responses
-            ):
-                self.replica.mark_snapshot_sent(id, header.index, self.now())
-                self._wake_event.set()
-                self.log.emit("snapshot-sent", replica=id, index=header.index)
-                return
-        finally:
-            del self._snapshot_responses[id]
-        self.replica.mark_snapshot_failed(id)
-
-    async def _send_chunks(
-        self,
-        id: str,
-        header: journal.SnapshotHeader,
-        data: bytes,
-        responses: "asyncio.Queue[messages.InstallResponse]",
-    ) -> bool:
-        offset = 0
-        core = self.replica
-        while core.role == replica.LEADER:
-            chunk = messages.InstallSnapshot(
-                core.hard_state.term,
-                core.id,
-                header.index,
-                header.term,
-                header.members,
-                offset,
-                len(data),
-                data[offset : offset + SNAPSHOT_CHUNK_BYTES],
-                self.now(),
-            )
-            self._enqueue([quorumlog.Outbound(id, chunk)])
-            try:
-                async with asyncio.timeout(SNAPSHOT_CHUNK_TIMEOUT_SECONDS):
-                    response = await responses.get()
-            except TimeoutError:
-                return False
-            if response.index == header.index:
-                offset = response.offset
-            if offset >= len(data):
-                return True
-        return False
-
     # Receiving snapshots.
 
     def _add_chunk(self, chunk: messages.InstallSnapshot) -> None:
         if chunk.term != self.replica.hard_state.term:
             return
         incoming = self._incoming_snapshot
-        if incoming is None or (incoming.leader, incoming.index) != (
-            chunk.leader,
-            chunk.index,
-        ):
-            incoming = self._incoming_snapshot = IncomingSnapshot(
-                chunk.leader, chunk.index
-            )
-        if chunk.offset == len(incoming.data):
-            incoming.data += chunk.data
+        if not incoming.includes(chunk):
+            incoming = snapshots.Incoming(chunk.leader, chunk.index)
+            self._incoming_snapshot = incoming
+        incoming.add(chunk)
         offset = len(incoming.data)
         if offset >= chunk.size:
             self._install_snapshot(chunk, bytes(incoming.data))
-            self._incoming_snapshot = None
+            self._incoming_snapshot = snapshots.Incoming("", 0)
         response = messages.InstallResponse(
             self.replica.hard_state.term,
             self.replica.id,
