--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -14,11 +14,14 @@
 from bench import measure
 from pollenseam import catalog
 from pollenseam import commands
+from pollenseam import items
 from pollenseam import keys
 from pollenseam import leases
 from pollenseam import lookups
 from pollenseam import members
 from pollenseam import messages
+from pollenseam import registry
+from pollenseam import registrysync
 from pollenseam import settings
 from pollenseam import state
 from pollenseam import tree
@@ -29,6 +32,7 @@
 WORKSPACES = (1_000, 4_000)
 HOLDERS = (10, 40)
 CLAIMS = 20_000
+ROUTES = 1_400
 
 
 def measure_allocation(
@@ -118,6 +122,50 @@
     return figures
 
 
+def measure_registry_transfer() -> dict[str, object]:
+    """Measures the bytes and time to transfer routes to an entry VM."""
+    generator = random.Random(1)
+    routes = [_route(generator) for _ in range(ROUTES)]
+    source = registry.Registry()
+    service = items.Service("/health", 100, 3.0, 3.0)
+    source.patch(1, [items.Item(items.SERVICE, "s1", 1, service), *routes])
+    receiver = registrysync.Receiver()
+    sizes = []
+    started = time.perf_counter()
+    update = None
+    while update is None:
+        page = registrysync.next_page(
+            source, receiver.base_index, receiver.position
+        )
+        sizes.append(len(messages.encode(page)))
+        update = receiver.receive(page, source.index)
+    seconds = time.perf_counter() - started
+    return {
+        "pages": update.pages,
+        "route_bytes": sum(sizes) / ROUTES,
+        "route_bytes_compressed": registry.encoded_size(routes) / ROUTES,
+        "route_us": seconds / ROUTES * 1e6,
+    }
+
+
+def _route(generator: random.Random) -> items.Item:
+    name = generator.randbytes(5).hex()
+    body = items.Route(
+        "shop.example",
+        f"/{name}/",
+        True,
+        1.5,
+        0.5,
+        2,
+        [items.Split("s1", 1.0)],
+        2,
+        False,
+        True,
+        [],
+    )
+    return items.Item(items.ROUTE, f"r-{name}", 1, body)
+
+
 def measure_claims() -> dict[str, object]:
     """Measures stored claims: memory, snapshot size and time per claim.
 
@@ -233,6 +281,7 @@
     "claims-kept": measure_claims,
     "lending": measure_lease_renewal,
     "gossip": measure_gossip,
+    "registry": measure_registry_transfer,
 }
 
 
