--- a/tests/test_rogue_upstreams.py
+++ b/tests/test_rogue_upstreams.py
@@ -6,6 +6,7 @@
 import io
 import tracemalloc
 
+import entries
 import gateway
 import multidict
 import pytest
@@ -16,7 +17,6 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import items
-from pollenseam import leases
 from pollenseam import peers
 from pollenseam import registry
 
@@ -76,19 +76,7 @@
 def make_entry_vm(upstream_address):
     log = events.open_log("e1", stream=io.StringIO())
     entry_vm = entryvm.EntryVm(
-        entryvm.Settings(
-            "e1",
-            "r1",
-            "d1",
-            "127.0.0.1:1",
-            {"d1": "r1"},
-            ["127.0.0.1:1"],
-            600.0,
-            0.0,
-            0.0,
-            10.0,
-            leases.Tolerance(5.0, 0.1, 20.0),
-        ),
+        entries.entry_settings("127.0.0.1:1", 600.0, retry_slack=0.0),
         log,
         peers.Client(log.clock),
         gateway.PlatformProtocol(),
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -7,6 +7,7 @@
 import time
 import types
 
+import entries
 import slowlink
 import test_items
 
@@ -17,7 +18,6 @@
 from pollenseam import events
 from pollenseam import follower
 from pollenseam import freshness
-from pollenseam import leases
 from pollenseam import peers
 from pollenseam import settings
 from pollenseam import traffic
@@ -71,10 +71,9 @@
 async def running_site(folder, monkeypatch):
     log = events.open_log("c1", stream=io.StringIO())
     address = f"127.0.0.1:{fleet.free_port()}"
-    tolerance = leases.Tolerance(5.0, 0.1, 20.0)
     control_vm = controlvm.ControlVm(
         controlvm.Settings(
-            "c1", "r1", "d1", address, [], folder, True, 1.5, tolerance
+            "c1", "r1", "d1", address, [], folder, True, 1.5, entries.TOLERANCE
         ),
         log,
         peers.Client(log.clock),
@@ -87,19 +86,7 @@
     link = slowlink.SlowLink(address, BYTES_PER_SECOND)
     await link.start()
     entry_vm = entryvm.EntryVm(
-        entryvm.Settings(
-            "e1",
-            "r1",
-            "d1",
-            "127.0.0.1:1",
-            {"d1": "r1"},
-            [link.address],
-            4.3,
-            0.2,
-            10.0,
-            10.0,
-            tolerance,
-        ),
+        entries.entry_settings(link.address),
         log,
         peers.Client(log.clock),
         None,
