Calls in parts: the size limit of a message, and a cancelled call isn't counted as ok

A call cancelled on the way was counted as ok. Both kinds of call now end in the same two functions, which stood twice.

--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -163,14 +163,8 @@
             )
         except grpc.aio.AioRpcError as error:
             outcome = error.code().name.lower()
-            self._record_call(method.name, outcome, started_at)
-            raise errors.UnreachableError(f"{address}: {outcome}") from error
-        self._record_call(method.name, "ok", started_at)
-        seconds = time.monotonic() - started_at
-        traffic.log_large(
-            self.log, method.name, "client", address, len(raw), seconds
-        )
-        return self._decode(address, method, raw)
+            raise self._failure(address, method, outcome, started_at) from error
+        return self._accept(address, method, raw, started_at)
 
     async def call_in_parts(
         self,
@@ -201,23 +195,22 @@
         stub = self._channel(address).unary_stream(f"/{SERVICE}/{method.name}")
         started_at = time.monotonic()
         call = stub(data)
-        outcome = "ok"
         try:
             raw = await _read_parts(call, first_seconds, next_seconds)
         except grpc.aio.AioRpcError as error:
             outcome = error.code().name.lower()
-        except TimeoutError:
-            outcome = "deadline_exceeded"
+            raise self._failure(address, method, outcome, started_at) from error
+        except TimeoutError as error:
+            raise self._failure(
+                address, method, "deadline_exceeded", started_at
+            ) from error
+        except ValueError as error:
+            raise self._failure(
+                address, method, "resource_exhausted", started_at
+            ) from error
         finally:
             call.cancel()
-            self._record_call(method.name, outcome, started_at)
-        if outcome != "ok":
-            raise errors.UnreachableError(f"{address}: {outcome}")
-        seconds = time.monotonic() - started_at
-        traffic.log_large(
-            self.log, method.name, "client", address, len(raw), seconds
-        )
-        return self._decode(address, method, raw)
+        return self._accept(address, method, raw, started_at)
 
     def _encode(self, method: Method, request: Any) -> bytes:
         """Encodes and counts a request; sets its logical time."""
@@ -227,9 +220,27 @@
         self.traffic.calls += 1
         return data
 
-    def _decode(self, address: str, method: Method, raw: bytes) -> Any:
-        """Decodes and counts a response; takes over its logical time."""
+    def _failure(
+        self, address: str, method: Method, outcome: str, started_at: float
+    ) -> errors.UnreachableError:
+        """Records a failed call; returns the error to raise."""
+        self._record_call(method, outcome, time.monotonic() - started_at)
+        return errors.UnreachableError(f"{address}: {outcome}")
+
+    def _accept(
+        self, address: str, method: Method, raw: bytes, started_at: float
+    ) -> Any:
+        """Records and decodes a response; takes over its logical time.
+
+        Raises:
+            UnreachableError: The response is not valid.
+        """
+        seconds = time.monotonic() - started_at
+        self._record_call(method, "ok", seconds)
         self.traffic.record_received(method.name, len(raw))
+        traffic.log_large(
+            self.log, method.name, "client", address, len(raw), seconds
+        )
         try:
             response = method.decode_response(raw)
         except msgspec.DecodeError as error:
@@ -238,11 +249,10 @@
         return response
 
     def _record_call(
-        self, method: str, outcome: str, started_at: float
+        self, method: Method, outcome: str, seconds: float
     ) -> None:
-        self.traffic.outcomes.add(method, "client", outcome)
-        seconds = time.monotonic() - started_at
-        self.traffic.latencies.observe(method, seconds)
+        self.traffic.outcomes.add(method.name, "client", outcome)
+        self.traffic.latencies.observe(method.name, seconds)
 
     async def stream(
         self, address: str, method: Method, requests: AsyncIterator[Any]
@@ -339,6 +349,7 @@
 
     Raises:
         TimeoutError: A part did not come in time.
+        ValueError: The response is larger than MAX_MESSAGE_BYTES.
         AioRpcError: The call failed.
     """
     raw = bytearray()
@@ -349,6 +360,8 @@
         if part is grpc.aio.EOF:
             return bytes(raw)
         raw += part
+        if len(raw) > MAX_MESSAGE_BYTES:
+            raise ValueError(f"the response exceeds {MAX_MESSAGE_BYTES} bytes")
         seconds = next_seconds
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -132,3 +132,27 @@
         line["side"] for line in lines if line["event"] == "large-response"
     }
     assert sides == {"client", "server"}
+
+
+async def test_a_response_in_parts_has_the_size_limit_of_a_message(monkeypatch):
+    """Guards against a source whose response has no end."""
+    address = f"127.0.0.1:{fleet.free_port()}"
+    server = peers.Server(events.LogicalClock(), traffic.Traffic())
+    outcome = b"x" * (3 * peers.PART_BYTES)
+
+    async def answer(request):
+        return messages.SubmitResponse(outcome, "", "", 0)
+
+    server.handle_in_parts(peers.SUBMIT, answer)
+    await server.start(address)
+    client = peers.Client(events.LogicalClock())
+    arguments = (address, peers.SUBMIT, messages.Submit(b"", 0, 0), 5.0, 5.0)
+    assert (await client.call_in_parts(*arguments)).outcome == outcome
+    monkeypatch.setattr(peers, "MAX_MESSAGE_BYTES", peers.PART_BYTES)
+    with pytest.raises(errors.UnreachableError):
+        await client.call_in_parts(*arguments)
+    assert client.traffic.outcomes.counts[
+        ("Submit", "client", "resource_exhausted")
+    ]
+    await client.close()
+    await server.stop(0)
