--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -93,6 +93,8 @@
             this request.
         running: Requests that the upstream is running, or -1 if not reported.
         waiting: Requests that are queued at the upstream.
+        stated_limit: Requests per second that the upstream accepts from all
+            VMs together, as text; "" if not stated.
     """
 
     __slots__ = (
@@ -101,6 +103,7 @@
         "matches_request",
         "running",
         "waiting",
+        "stated_limit",
     )
 
     def __init__(
@@ -110,12 +113,14 @@
         matches_request: bool,
         running: int = -1,
         waiting: int = 0,
+        stated_limit: str = "",
     ) -> None:
         self.is_not_run = is_not_run
         self.is_replaced = is_replaced
         self.matches_request = matches_request
         self.running = running
         self.waiting = waiting
+        self.stated_limit = stated_limit
 
 
 class UpstreamProtocol(Protocol):
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -15,6 +15,7 @@
 from pollenseam import replybuffers
 from pollenseam import retries
 from pollenseam import sessions
+from pollenseam import statedlimits
 from pollenseam import steering
 from pollenseam import upstreamstats
 from pollenseam import vm
@@ -41,6 +42,7 @@
         retry_window_seconds: Length of the retry budgets' window.
         retry_budgets: Retry budgets by service name.
         reply_buffers: Bodies of replies that are being received.
+        stated_limits: Rates that upstreams state.
         session: HTTP client session for all upstreams.
     """
 
@@ -63,6 +65,7 @@
         self.retry_window_seconds = retry_window_seconds
         self.retry_budgets: dict[str, retries.Budget] = {}
         self.reply_buffers = replybuffers.ReplyBuffers()
+        self.stated_limits = statedlimits.Table()
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS
         )
@@ -276,6 +279,8 @@
             else:
                 response.close()
         now = self.now()
+        if not head.is_replaced and (head.matches_request or head.is_not_run):
+            self._record_stated_limit(upstream, head.stated_limit)
         if head.running >= 0:
             upstream.record_load_report(head.running, head.waiting, now)
             # This request has ended at the upstream, but this VM still counts
@@ -303,6 +308,28 @@
         )
         return self._evaluate_reply(active_call, choice, reply, started)
 
+    def _record_stated_limit(
+        self, upstream: upstreamstats.UpstreamStats, text: str
+    ) -> None:
+        """Records the rate that an upstream's response states, if any."""
+        rate = statedlimits.parse(text) if text else statedlimits.NO_LIMIT
+        record = upstream.record
+        if rate is None:
+            self.log.emit_often(
+                "stated-limit-invalid", upstream=record.id, text=text
+            )
+            rate = statedlimits.NO_LIMIT
+        if self.stated_limits.record(
+            record.id, record.started_ms, rate, self.now()
+        ):
+            self.log.emit_often(
+                "stated-limit",
+                upstream=record.id,
+                service=record.service,
+                rate=None if rate == statedlimits.NO_LIMIT else rate,
+                source="response",
+            )
+
     def _record_not_run(
         self,
         active_call: calls.ActiveCall,
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -480,6 +480,7 @@
                 "settings_age_seconds": self.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "entry_vms": len(self.directory.entries),
+                "stated_limits": self.dispatcher.stated_limits.in_force,
             }
         )
         return exposition + self.peers.traffic.expose()
--- /dev/null
+++ b/src/pollenseam/statedlimits.py
@@ -0,0 +1,134 @@
+"""Request rates that upstreams state in their responses.
+
+An upstream states how many requests per second it accepts from all VMs
+together, and repeats it in each response for as long as it is in force.
+"""
+
+import re
+from collections.abc import Container
+
+import msgspec
+
+# A stated rate above this is no limit in practice, and probably a mistake.
+MAX_RATE = 1_000_000.0
+# A VM reports a rate again after this time even if it has not changed.
+REFRESH_SECONDS = 4.0
+# Rate that stands for "states no limit".
+NO_LIMIT = -1.0
+
+_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?", re.ASCII)
+
+
+class StatedLimit(msgspec.Struct, array_like=True):
+    """What one response of an upstream said, as sent between VMs.
+
+    Attributes:
+        upstream: Id of the upstream.
+        started_ms: Start of the upstream in Unix milliseconds.
+        rate: Requests per second from all VMs; NO_LIMIT if none was stated.
+        age_ms: Time since the response was read, in milliseconds.
+    """
+
+    upstream: str
+    started_ms: int
+    rate: float
+    age_ms: int
+
+
+class Record:
+    """The latest known statement of one upstream.
+
+    Attributes:
+        started_ms: Start of the upstream in Unix milliseconds.
+        rate: Requests per second from all VMs; NO_LIMIT if none is stated.
+        read_at: Time in seconds at which the response was read.
+        reported_rate: Rate that the other VMs know, or None.
+        reported_at: Time in seconds at which they were last told.
+        revision: Revision of the table at which the record last changed.
+    """
+
+    __slots__ = (
+        "started_ms",
+        "rate",
+        "read_at",
+        "reported_rate",
+        "reported_at",
+        "revision",
+    )
+
+    def __init__(self, started_ms: int, rate: float, read_at: float) -> None:
+        self.started_ms = started_ms
+        self.rate = rate
+        self.read_at = read_at
+        self.reported_rate: float | None = None
+        self.reported_at = 0.0
+        self.revision = 0
+
+
+class Table:
+    """The latest statements of all upstreams that have ever stated a limit.
+
+    Entry VMs and the leader each have one. Statements are merged by the time
+    at which they were read: the latest counts.
+
+    Attributes:
+        records: Records by upstream id.
+        revision: Number of changes.
+    """
+
+    __slots__ = ("records", "revision")
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        self.revision = 0
+
+    def rate(self, upstream: str, started_ms: int) -> float | None:
+        """Returns the rate in force for an upstream, or None."""
+        record = self.records.get(upstream)
+        if record is None or record.started_ms != started_ms:
+            return None
+        return None if record.rate == NO_LIMIT else record.rate
+
+    def record(
+        self, upstream: str, started_ms: int, rate: float, read_at: float
+    ) -> bool:
+        """Records a statement; returns whether the rate in force changed.
+
+        An upstream that never stated a limit gets no record.
+        """
+        old = self.records.get(upstream)
+        if old is None and rate == NO_LIMIT:
+            return False
+        if old is not None and started_ms < old.started_ms:
+            return False
+        if old is None or started_ms > old.started_ms:
+            old = self.records[upstream] = Record(started_ms, NO_LIMIT, read_at)
+        elif read_at < old.read_at:
+            return False
+        has_changed = old.rate != rate
+        old.rate = rate
+        old.read_at = read_at
+        self.revision += 1
+        old.revision = self.revision
+        return has_changed
+
+    def retain(self, upstreams: Container[str]) -> None:
+        """Drops the records of all other upstreams."""
+        for upstream in [u for u in self.records if u not in upstreams]:
+            del self.records[upstream]
+
+    @property
+    def in_force(self) -> int:
+        """Number of upstreams that state a limit."""
+        return sum(r.rate != NO_LIMIT for r in self.records.values())
+
+
+def parse(text: str) -> float | None:
+    """Returns the rate that a response states, or None if it is invalid.
+
+    Valid are decimal numbers from 0 to MAX_RATE, without sign and exponent.
+    """
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        return None
+    rate = float(text)
+    return rate if rate <= MAX_RATE else None
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -22,7 +22,7 @@
     headers = {
         value
         for value in vars(gateway).values()
-        if isinstance(value, str) and value.startswith("X-")
+        if isinstance(value, str) and re.match(r"(X|Server)-", value)
     }
     fields = {
         field.name
