--- a/tests/machines.py
+++ b/tests/machines.py
@@ -20,6 +20,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 START_TIMEOUT_SECONDS = 20.0
 POLL_INTERVAL_SECONDS = 0.02
+HEARTBEAT_SECONDS = 0.5
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r2"}
 HOST = "shop.example"
 
@@ -62,7 +63,7 @@
             "internal_port_range": "7103,7103",
             "seeds": seeds,
             "bootstrap": str(self.is_first_start).lower(),
-            "heartbeat_s": "0.5",
+            "heartbeat_s": str(HEARTBEAT_SECONDS),
             "data_dir": str(self.folder / "data"),
             "bounds.strict_revoke": "true",
             "bounds.revoke_s": "5",
@@ -118,6 +119,8 @@
         self.sequence = 0
         self.started_at_ms = time.time_ns() // 1_000_000
         self.received_requests = []
+        self.arrived_at = []
+        self.reply_headers = {}
         self.delay_seconds = 0.0
         self.status = 200
         self.address = ""
@@ -137,12 +140,14 @@
         }
         if request.headers.get("X-Expect-Instance") != self.id:
             return web.Response(status=421, headers=reply_headers)
+        self.arrived_at.append(time.monotonic())
         body = await request.read()
         self.received_requests.append(
             (request.method, request.raw_path, request.headers)
         )
         await asyncio.sleep(self.delay_seconds)
         reply_headers |= {"X-Reply-Stamp": self.id, "X-Server-Load": "1,0,3"}
+        reply_headers |= self.reply_headers
         return web.Response(
             status=self.status, headers=reply_headers, body=b"done " + body
         )
@@ -238,6 +243,22 @@
         )
         return server
 
+    @contextlib.asynccontextmanager
+    async def sending_heartbeats(self):
+        """Sends heartbeats of all servers while the context is entered."""
+
+        async def send_all():
+            while True:
+                for server in self.servers:
+                    await server.send_heartbeat()
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+
+        task = asyncio.create_task(send_all())
+        try:
+            yield
+        finally:
+            task.cancel()
+
     async def has_status_200(self, call):
         status, _ = await call
         return status == 200
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -1,5 +1,8 @@
 """Request rates that upstreams state in their responses."""
 
+import asyncio
+
+import machines
 import pytest
 
 from pollenseam import statedlimits
@@ -30,3 +33,53 @@
     assert table.rate("i1", 5) is None
     table.retain({"i2"})
     assert table.records == {}
+
+
+async def test_vms_together_send_no_more_than_an_upstream_says_it_accepts(
+    tmp_path,
+):
+    """Guards against upstreams that get a multiple of the rate they state.
+
+    Each entry VM used to send to such an upstream as to any other. Meanwhile
+    the other upstream has room, and no request is refused.
+    """
+    async with machines.running_cluster(tmp_path, entry_count=3) as cluster:
+        limited = await cluster.add_server("i-1")
+        await cluster.add_server("i-2")
+        limited.reply_headers["Server-Limit"] = "1.5"
+        for entry_index in range(3):
+            await cluster.wait_until(
+                lambda n=entry_index: is_served(cluster, n)
+            )
+        async with cluster.sending_heartbeats():
+            statuses = await send_evenly(cluster, seconds=7.0, per_second=30)
+    first = limited.arrived_at[0]
+    arrivals = [t for t in limited.arrived_at if t > first + 1.0]
+    assert set(statuses) == {200}
+    assert 4 <= len(arrivals)
+    assert most_within(arrivals, 4.0) <= 1.5 * 1.5 * 4.0 + 5.0
+
+
+async def is_served(cluster, entry_index):
+    return (await cluster.request(entry_index=entry_index))[0] == 200
+
+
+async def send_evenly(cluster, seconds, per_second):
+    """Sends requests about many objects to all entry VMs in turn."""
+    requests = []
+    for number in range(int(seconds * per_second)):
+        requests.append(
+            asyncio.create_task(
+                cluster.request(
+                    f"/a/{number}",
+                    entry_index=number % len(cluster.entry_vms),
+                    headers={"Cookie": f"X-Affinity-Key={number % 24}"},
+                )
+            )
+        )
+        await asyncio.sleep(1 / per_second)
+    return [status for status, _, _ in await asyncio.gather(*requests)]
+
+
+def most_within(times, seconds):
+    return max(sum(t <= other < t + seconds for other in times) for t in times)
