LIMIT: rates that upstreams state are divided between three VMs and passed on

Cause: no code read the header; and each VM decides with what it alone knows, though the rate is one for all. Class: a limit for all VMs together that each VM applies alone, or not at all.

Change: one mechanism for each rate that an upstream accepts from all VMs, cold upstreams included (pacing.py): three senders in an order that every VM computes alike, a token bucket each; VMs of regions short of room come first for the part of a richer region's upstreams that it can spare. What a response states goes to the leader with the next renewal and from there to all VMs with theirs (observations.py, statedlimits.py), so that a VM that may not send hears of a rise, a fall or the end; a new leader gets it from the VMs. Where nobody heard from the upstream for 12 s, one more VM of the order asks each second. Where no upstream admits a request it is refused at once, with the time to this VM's next token.

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -14,6 +14,9 @@
 # by priority (0 is the highest). Lower priorities have lower limits, which
 # leaves capacity for higher ones under load.
 MAX_WAIT_RATIOS = (2.0, 1.8, 1.5)
+# Part of the saved-up requests to an upstream with a limited rate that is left
+# to higher priorities, by priority.
+RESERVE_RATIOS = (0.0, 0.4, 0.9)
 
 
 class Call:
@@ -252,6 +255,7 @@
             self.regions,
             self.tried,
             target_seconds,
+            RESERVE_RATIOS[level],
         )
 
     def may_retry(self) -> bool:
--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pollenseam import messages
+from pollenseam import observations
 from pollenseam import peers
 from pollenseam import registry
 
@@ -126,12 +127,14 @@
         demands: Demands of the sender for workspaces' rates.
         logical: Logical clock of the sender.
         is_complete: Whether `demands` includes all shares of the sender.
+        observed: What the sender observed at upstreams.
     """
 
     entry: EntryVm
     demands: list[messages.ResourceDemand]
     logical: int = 0
     is_complete: bool = False
+    observed: observations.Report = observations.Report()
 
 
 class Join(msgspec.Struct, array_like=True):
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -24,6 +24,7 @@
 from pollenseam import liveness
 from pollenseam import messages
 from pollenseam import metrics
+from pollenseam import observations
 from pollenseam import peers
 from pollenseam import proposer
 from pollenseam import registry
@@ -125,6 +126,7 @@
         proposer: Submits commands to the leader.
         liveness: Directory of VMs and deadlines of VMs and upstreams.
         freshness: Age of the replica's state.
+        board: What entry VMs observe at upstreams; used by the leader.
         unreported_ids: Ids of upstreams that announced themselves to this VM
             and are not yet reported to the leader.
         changed: Event that is set, and replaced by a new one, when the
@@ -145,6 +147,7 @@
         self.now = vm.boot_seconds
         self.liveness = liveness.LivenessTracker(settings.announce_seconds)
         self.freshness = freshness.Freshness()
+        self.board = observations.Board()
         self.unreported_ids: set[str] = set()
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
@@ -296,6 +299,7 @@
             self.unreported_ids.clear()
             self.liveness.remove_expired(runner.replica.members, now)
             self._record_expired(now)
+            self.board.stated_limits.retain(self.applied_registry.upstreams)
             self._remove_replaced_voter(now)
 
     def _start_leading(self, term: int, now: float) -> None:
@@ -681,8 +685,15 @@
         is_recovering = lender.is_recovering(now)
         self.metrics.renewals.add("learning" if is_recovering else "lent")
         scarce = lender.scarce_resources(limits, now)
+        term = runner.replica.hard_state.term
         return messages.LeaseResponse(
-            ttl_ms, "", shares, 0, scarce, is_recovering
+            ttl_ms,
+            "",
+            shares,
+            0,
+            scarce,
+            is_recovering,
+            self.board.answer(request.observed, term, now),
         )
 
     def _limits(self) -> dict[str, leases.Limit]:
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -23,6 +23,8 @@
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
 MIN_RETRY_AFTER_SECONDS = 0.05
+# Retry-After while no upstream is known to accept requests soon.
+NO_UPSTREAM_SECONDS = 1.0
 # A call is refused when less time is left than the expected wait and this part
 # of the expected work, the least that the work is assumed to need.
 MIN_WORK_RATIO = 0.6
@@ -54,6 +56,7 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
+        stated_limits: statedlimits.Table,
     ) -> None:
         self.protocol = protocol
         self.log = log
@@ -65,7 +68,7 @@
         self.retry_window_seconds = retry_window_seconds
         self.retry_budgets: dict[str, retries.Budget] = {}
         self.reply_buffers = replybuffers.ReplyBuffers()
-        self.stated_limits = statedlimits.Table()
+        self.stated_limits = stated_limits
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS
         )
@@ -116,9 +119,7 @@
             raise errors.RefusedError(active_call.refusal)
         choice = active_call.pool.choose(active_call.requirements(), now)
         if choice is None:
-            raise self._final_refusal(
-                active_call, "no upstream is serving", 1.0
-            )
+            raise self._no_upstream(active_call, now)
         left_seconds = active_call.deadline - now
         min_work_seconds = choice.work_seconds * MIN_WORK_RATIO
         if (
@@ -142,6 +143,23 @@
             )
         return choice
 
+    def _no_upstream(
+        self, active_call: calls.ActiveCall, now: float
+    ) -> errors.RefusedError:
+        """Returns the refusal of a call that no upstream may get now."""
+        pool = active_call.pool
+        wait = pool.seconds_until_admitted(active_call.requirements(), now)
+        if wait is None:
+            return self._final_refusal(
+                active_call, "no upstream is serving", NO_UPSTREAM_SECONDS
+            )
+        why = (
+            "the upstreams accept no more requests now: "
+            f"{pool.stated_limits.count} state a rate, this VM may send the "
+            f"next request in {wait:.3g} s"
+        )
+        return self._final_refusal(active_call, why, wait)
+
     def _final_refusal(
         self, active_call: calls.ActiveCall, why: str, retry_after: float
     ) -> errors.RefusedError:
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -14,6 +14,7 @@
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import metrics
+from pollenseam import observations
 from pollenseam import peers
 from pollenseam import registry
 from pollenseam import registrysync
@@ -114,6 +115,7 @@
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
         freshness: Age of the registry.
+        exchange: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
@@ -139,8 +141,9 @@
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = steering.WorkEstimates()
         self.freshness = freshness.Freshness()
+        self.exchange = observations.Exchange()
         self.shares = shares.LeaseClient(
-            log, peer_client, self.now, lambda: self.own_record
+            log, peer_client, self.now, lambda: self.own_record, self.exchange
         )
         self.metrics = metrics.EntryMetrics()
         self.dispatcher = dispatcher.Dispatcher(
@@ -150,6 +153,7 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
+            self.exchange.stated_limits,
         )
         self.is_leaving = False
         self.in_flight = 0
@@ -338,10 +342,12 @@
                     settings.region,
                     settings.failure_domain,
                     self.work_estimates,
+                    self.exchange.stated_limits,
                 )
             pool.update(records, settings.regions, now)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
+        self.exchange.stated_limits.retain(self.registry.upstreams)
         self._divide_cold_rates()
 
     def _divide_cold_rates(self) -> None:
@@ -480,7 +486,7 @@
                 "settings_age_seconds": self.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "entry_vms": len(self.directory.entries),
-                "stated_limits": self.dispatcher.stated_limits.in_force,
+                "stated_limits": self.exchange.stated_limits.count,
             }
         )
         return exposition + self.peers.traffic.expose()
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pollenseam import observations
 from pollenseam import settings
 from pollenseam import tree
 
@@ -342,6 +343,8 @@
             report them.
         is_recovering: Whether the sender, a new leader, does not have a record
             of all leases in force yet.
+        observed: What other VMs observed at upstreams; None when the
+            sender does not exchange it.
     """
 
     ttl_ms: int
@@ -350,6 +353,7 @@
     logical: int
     scarce_resources: list[str] | None = None
     is_recovering: bool = False
+    observed: observations.Update | None = None
 
 
 class Vm(msgspec.Struct, array_like=True):
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -11,6 +11,7 @@
 from pollenseam import leases
 from pollenseam import lending
 from pollenseam import messages
+from pollenseam import observations
 from pollenseam import peers
 from pollenseam import replicarunner
 
@@ -33,6 +34,7 @@
         peers: Client for calls to other VMs.
         now: Returns the time in seconds.
         own_record: Returns this VM's record, which every renewal carries.
+        exchange: Observations at upstreams that renewals carry.
         lease_table: Accounts by workspace.
         leader: Address of the leader, or "" if unknown.
         wake: Event that starts a renewal at once when it is set.
@@ -44,11 +46,13 @@
         peer_client: peers.Client,
         now: replicarunner.Clock,
         own_record: Callable[[], controlmessages.EntryVm],
+        exchange: observations.Exchange,
     ) -> None:
         self.log = log
         self.peers = peer_client
         self.now = now
         self.own_record = own_record
+        self.exchange = exchange
         self.lease_table = buckets.LeaseTable()
         self.leader = ""
         self.wake = asyncio.Event()
@@ -88,7 +92,10 @@
             self.lease_table.build_requests(sent_at, is_full)
         )
         request = controlmessages.Renew(
-            self.own_record(), demands, is_complete=is_full
+            self.own_record(),
+            demands,
+            is_complete=is_full,
+            observed=self.exchange.build_report(is_full, sent_at),
         )
         answer = await self._call_leader(request)
         if answer is None:
@@ -98,6 +105,8 @@
             return False
         deadline = sent_at + answer.ttl_ms / 1000
         now = self.now()
+        if answer.observed is not None:
+            self.exchange.receive(request.observed, answer.observed, now)
         self._synced_leader = ""
         if answer.scarce_resources is not None:
             if not answer.is_recovering:
--- a/src/pollenseam/statedlimits.py
+++ b/src/pollenseam/statedlimits.py
@@ -6,6 +6,7 @@
 
 import re
 from collections.abc import Container
+from collections.abc import Iterable
 
 import msgspec
 
@@ -64,6 +65,13 @@
         self.reported_at = 0.0
         self.revision = 0
 
+    @property
+    def is_unreported(self) -> bool:
+        """Whether the other VMs should be told of the rate."""
+        if self.rate != self.reported_rate:
+            return True
+        return self.read_at - self.reported_at >= REFRESH_SECONDS
+
 
 class Table:
     """The latest statements of all upstreams that have ever stated a limit.
@@ -82,12 +90,12 @@
         self.records: dict[str, Record] = {}
         self.revision = 0
 
-    def rate(self, upstream: str, started_ms: int) -> float | None:
-        """Returns the rate in force for an upstream, or None."""
+    def in_force(self, upstream: str, started_ms: int) -> Record | None:
+        """Returns the record of an upstream that states a limit, or None."""
         record = self.records.get(upstream)
-        if record is None or record.started_ms != started_ms:
+        if record is None or record.rate == NO_LIMIT:
             return None
-        return None if record.rate == NO_LIMIT else record.rate
+        return record if record.started_ms == started_ms else None
 
     def record(
         self, upstream: str, started_ms: int, rate: float, read_at: float
@@ -112,17 +120,69 @@
         old.revision = self.revision
         return has_changed
 
+    def adopt(self, statements: Iterable[StatedLimit], now: float) -> None:
+        """Records statements that other VMs read, as known to all."""
+        for statement in statements:
+            read_at = now - statement.age_ms / 1000
+            self.record(
+                statement.upstream,
+                statement.started_ms,
+                statement.rate,
+                read_at,
+            )
+            self._mark_reported(statement)
+
+    def unreported(self, is_full: bool, now: float) -> list[StatedLimit]:
+        """Returns the statements that other VMs do not know yet.
+
+        An unchanged rate counts as unknown again after REFRESH_SECONDS, so
+        that the other VMs know that it is still in force.
+
+        Args:
+            is_full: Whether to return all statements.
+            now: Time in seconds.
+        """
+        return [
+            _to_message(upstream, record, now)
+            for upstream, record in self.records.items()
+            if is_full or record.is_unreported
+        ]
+
+    def mark_reported(self, statements: Iterable[StatedLimit]) -> None:
+        """Records that the leader has received these statements."""
+        for statement in statements:
+            self._mark_reported(statement)
+
+    def _mark_reported(self, statement: StatedLimit) -> None:
+        record = self.records.get(statement.upstream)
+        if record is not None and record.started_ms == statement.started_ms:
+            record.reported_rate = statement.rate
+            record.reported_at = record.read_at
+
+    def changes_since(self, revision: int, now: float) -> list[StatedLimit]:
+        """Returns the statements that were recorded after a revision."""
+        return [
+            _to_message(upstream, record, now)
+            for upstream, record in self.records.items()
+            if record.revision > revision
+        ]
+
     def retain(self, upstreams: Container[str]) -> None:
         """Drops the records of all other upstreams."""
         for upstream in [u for u in self.records if u not in upstreams]:
             del self.records[upstream]
 
     @property
-    def in_force(self) -> int:
+    def count(self) -> int:
         """Number of upstreams that state a limit."""
         return sum(r.rate != NO_LIMIT for r in self.records.values())
 
 
+def _to_message(upstream: str, record: Record, now: float) -> StatedLimit:
+    age_ms = max(0, int((now - record.read_at) * 1000))
+    return StatedLimit(upstream, record.started_ms, record.rate, age_ms)
+
+
 def parse(text: str) -> float | None:
     """Returns the rate that a response states, or None if it is invalid.
 
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -9,11 +9,15 @@
 has it in its cache.
 """
 
+import collections
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from pollenseam import hashing
+from pollenseam import pacing
 from pollenseam import registry
+from pollenseam import statedlimits
 from pollenseam import upstreamstats
 
 # Processing time on an upstream that is warm for the object, relative to the
@@ -55,15 +59,11 @@
 # rest.
 FULL_LOAD_RATIO = 3.5
 FULL_COST_SECONDS = 2.0
-# Number of VMs that may send to a cold upstream. Kept small because each of
-# them may send a request at the same moment.
-MAX_COLD_SENDERS = 3
 MAX_CACHED_RANKINGS = 4096
 # Upstreams that are evaluated for a request in its preferred region, and again
 # in the other regions. More are evaluated only if none of these has room.
 CANDIDATE_COUNT = 12
-MASK_64 = 2**64 - 1
-HOME_HASH = upstreamstats.hash64("home")
+HOME_HASH = hashing.hash64("home")
 # Requests that concern no object are spread over this many rankings.
 RANKINGS_WITHOUT_OBJECT = 64
 
@@ -176,9 +176,18 @@
         regions: Regions that may serve the request; all if empty.
         tried: Ids of upstreams that must not get the request again.
         target_seconds: Time within which a response should be expected.
+        reserve_ratio: Part (0 to 1) of an upstream's limited rate, of what has
+            been saved up, that is left to requests of higher priorities.
     """
 
-    __slots__ = ("route", "object", "regions", "tried", "target_seconds")
+    __slots__ = (
+        "route",
+        "object",
+        "regions",
+        "tried",
+        "target_seconds",
+        "reserve_ratio",
+    )
 
     def __init__(
         self,
@@ -187,8 +196,10 @@
         regions: Container[str],
         tried: Container[str],
         target_seconds: float = 1.0,
+        reserve_ratio: float = 0.0,
     ) -> None:
         self.target_seconds = target_seconds
+        self.reserve_ratio = reserve_ratio
         self.route = route
         self.object = object
         self.regions = regions
@@ -207,8 +218,8 @@
             that every failure domain sends the same amount of requests.
         cold_rate: Requests per second that a cold upstream accepts from all
             VMs together; 0 if there is no limit.
-        vms: Region of each entry VM, by name.
-        name: Name of this VM.
+        fleet: Entry VMs that share the rates of upstreams.
+        stated_limits: Rates that upstreams state.
         work_estimates: Expected processing time by route.
         recent_choices: Choices of the last OVERFLOW_WINDOW_SECONDS by time;
             True if the request left its preferred region.
@@ -220,13 +231,12 @@
         "failure_domain",
         "home_ratio",
         "cold_rate",
-        "vms",
-        "name",
+        "fleet",
+        "stated_limits",
         "work_estimates",
         "recent_choices",
         "_rankings",
         "_next_ranking",
-        "_cold_limit_version",
     )
 
     def __init__(
@@ -235,10 +245,11 @@
         region: str,
         failure_domain: str,
         work_estimates: WorkEstimates,
+        stated_limits: statedlimits.Table | None = None,
     ) -> None:
         self.upstreams: dict[str, upstreamstats.UpstreamStats] = {}
-        self.name = name
-        self.vms: dict[str, str] = {name: region}
+        self.fleet = pacing.Fleet(name, {name: region}, {})
+        self.stated_limits = stated_limits or statedlimits.Table()
         self.region = region
         self.failure_domain = failure_domain
         self.home_ratio = 1.0
@@ -247,7 +258,6 @@
         self.recent_choices: dict[float, bool] = {}
         self._rankings: dict[str, _Ranking] = {}
         self._next_ranking = 0
-        self._cold_limit_version = 0
 
     def update(
         self,
@@ -277,17 +287,14 @@
                     stats.cold_until = now + record.cold_ms / 1000
             stats.record = record
             self.upstreams[record.id] = stats
-        self.home_ratio = self._compute_home_ratio(regions)
+        room_ratios = self._compute_room_ratios(regions)
+        self.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
+        self._set_fleet(self.fleet.regions, room_ratios)
         if [*previous.values()] != [*self.upstreams.values()]:
             self._rankings.clear()
 
     def set_cold_limit(self, rate: float, vms: dict[str, str]) -> None:
-        """Sets the rate that cold upstreams accept and the VMs that share it.
-
-        For each cold upstream the rate is divided between at most
-        MAX_COLD_SENDERS entry VMs, those of its own region first, in an order
-        that every VM computes alike. The number is small because each of them
-        may send a request at the same moment.
+        """Sets the rate that cold upstreams accept and the VMs of the fleet.
 
         Args:
             rate: Requests per second that each cold upstream accepts from all
@@ -295,52 +302,80 @@
             vms: Region of each entry VM.
         """
         self.cold_rate = rate
-        self.vms = vms
-        self._cold_limit_version += 1
+        self._set_fleet(vms, self.fleet.room_ratios)
+
+    def _set_fleet(
+        self, vms: dict[str, str], room_ratios: dict[str, float]
+    ) -> None:
+        fleet = self.fleet
+        if vms != fleet.regions or room_ratios != fleet.room_ratios:
+            self.fleet = pacing.Fleet(fleet.name, vms, room_ratios)
 
     def _admits(
-        self, upstream: upstreamstats.UpstreamStats, now: float
+        self,
+        upstream: upstreamstats.UpstreamStats,
+        requirements: Requirements,
+        now: float,
     ) -> bool:
         """Returns whether this VM may send a request to an upstream now.
 
-        The rate for a cold upstream is computed here, when it is needed,
-        because only a few of many upstreams are cold at a time.
+        This VM's part of a limited rate is computed here, when it is needed,
+        because only a few of many upstreams limit it at a time.
         """
-        if upstream.cold_until > now:
-            if upstream.cold_limit_version != self._cold_limit_version:
-                upstream.cold_limit_version = self._cold_limit_version
-                upstream.cold_rate = self._own_cold_rate(upstream)
-        return upstream.admits(now)
+        upstream.pacer.set_rate(self._own_rate(upstream, now), now)
+        return upstream.pacer.admits(requirements.reserve_ratio, now)
 
-    def _own_cold_rate(
-        self, upstream: upstreamstats.UpstreamStats
+    def _own_rate(
+        self, upstream: upstreamstats.UpstreamStats, now: float
     ) -> float | None:
-        if self.cold_rate <= 0:
+        """Returns this VM's part of the rate; None if it is not limited."""
+        record = upstream.record
+        stated = self.stated_limits.in_force(record.id, record.started_ms)
+        is_cold = upstream.cold_until > now and self.cold_rate > 0
+        if stated is None and not is_cold:
             return None
-        by_distance = sorted(
-            self.vms,
-            key=lambda name: (
-                self.vms[name] != upstream.region,
-                _score(upstreamstats.hash64(name), upstream.name_hash),
-            ),
-        )
-        senders = by_distance[:MAX_COLD_SENDERS]
-        if self.name not in senders:
-            return 0.0
-        return self.cold_rate / len(senders)
-
-    def _compute_home_ratio(self, regions: Mapping[str, str]) -> float:
-        domains = list(regions.values())
-        slots = sum(u.record.slots for u in self.upstreams.values())
-        own_slots = sum(
-            u.record.slots
-            for u in self.upstreams.values()
-            if u.region == self.region
-        )
-        demand_ratio = domains.count(self.region) / max(1, len(domains))
-        if slots == 0 or demand_ratio == 0:
-            return 1.0
-        return min(1.0, own_slots / slots / demand_ratio)
+        accepted_rate = self.cold_rate
+        silent_seconds = 0.0
+        if stated is not None:
+            silent_seconds = now - stated.read_at
+            accepted_rate = stated.rate
+            if is_cold:
+                accepted_rate = min(accepted_rate, self.cold_rate)
+        rank = upstream.rank_in(self.fleet)
+        return self.fleet.own_rate(rank, accepted_rate, silent_seconds)
+
+    def seconds_until_admitted(
+        self, requirements: Requirements, now: float
+    ) -> float | None:
+        """Returns the time until an upstream may get a request.
+
+        The result is None if none will, as far as this VM knows.
+        """
+        waits = [
+            upstream.pacer.wait_seconds(requirements.reserve_ratio, now)
+            for upstream in self.upstreams.values()
+            if self._is_allowed(upstream, requirements)
+        ]
+        return min((wait for wait in waits if wait is not None), default=None)
+
+    def _compute_room_ratios(
+        self, regions: Mapping[str, str]
+    ) -> dict[str, float]:
+        """Returns each region's share of the slots by its share of the demand.
+
+        Every failure domain is assumed to send the same amount of requests.
+        """
+        domains = collections.Counter(regions.values())
+        slots: collections.Counter[str] = collections.Counter()
+        for upstream in self.upstreams.values():
+            slots[upstream.region] += upstream.record.slots
+        total = slots.total()
+        if not total:
+            return {}
+        return {
+            region: slots[region] / total * domains.total() / count
+            for region, count in domains.items()
+        }
 
     def choose(self, requirements: Requirements, now: float) -> Choice | None:
         """Returns the best upstream for a request, or None if there is none.
@@ -368,14 +403,9 @@
         best: _Candidate | None = None
         count = 0
         for rank, upstream in ranked:
-            if upstream.record.id in requirements.tried:
-                continue
-            if (
-                requirements.regions
-                and upstream.region not in requirements.regions
-            ):
+            if not self._is_allowed(upstream, requirements):
                 continue
-            if not self._admits(upstream, now):
+            if not self._admits(upstream, requirements, now):
                 continue
             choice = self._evaluate(upstream, rank, requirements, now)
             penalty = self._penalty(upstream, rank, requirements, now)
@@ -387,6 +417,16 @@
                 break
         return best
 
+    def _is_allowed(
+        self,
+        upstream: upstreamstats.UpstreamStats,
+        requirements: Requirements,
+    ) -> bool:
+        if upstream.record.id in requirements.tried:
+            return False
+        regions = requirements.regions
+        return not regions or upstream.region in regions
+
     def _has_room(self, candidate: _Candidate, now: float) -> bool:
         choice = candidate.choice
         return choice.excess_wait_seconds <= 0 and not self._is_suspect(
@@ -543,12 +583,13 @@
         return ranking
 
     def _rank_upstreams(self, object: str) -> list[upstreamstats.UpstreamStats]:
-        object_hash = upstreamstats.hash64(object)
-        is_home = _score(object_hash, HOME_HASH) / MASK_64 < self.home_ratio
+        object_hash = hashing.hash64(object)
+        position = hashing.mix(object_hash, HOME_HASH) / hashing.MASK_64
+        is_home = position < self.home_ratio
         scored = [
             (
                 (upstream.region == self.region) == is_home,
-                _score(object_hash, upstream.name_hash),
+                hashing.mix(object_hash, upstream.name_hash),
                 upstream.record.id,
                 upstream,
             )
@@ -556,11 +597,3 @@
         ]
         scored.sort(key=lambda s: s[:3], reverse=True)
         return [s[3] for s in scored]
-
-
-def _score(key: int, other: int) -> int:
-    """Mixes two 64-bit hashes into one (the finalizer of splitmix64)."""
-    mixed = (key ^ other) & MASK_64
-    mixed = ((mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9) & MASK_64
-    mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & MASK_64
-    return mixed ^ (mixed >> 31)
--- a/src/pollenseam/upstreamstats.py
+++ b/src/pollenseam/upstreamstats.py
@@ -1,8 +1,9 @@
 """Statistics that an entry VM keeps about one upstream."""
 
 import collections
-import hashlib
 
+from pollenseam import hashing
+from pollenseam import pacing
 from pollenseam import registry
 
 MAX_WARM_OBJECTS = 48
@@ -60,12 +61,11 @@
         full_until: Time until which the upstream is assumed to be full, after
             it shed a request.
         cold_until: Time until which the upstream is cold.
-        cold_rate: Requests per second that this VM may send to the upstream
-            while it is cold; None if there is no limit.
-        cold_tokens: Requests that this VM may send now to the cold upstream.
-        cold_filled_at: Time at which `cold_tokens` was last refilled.
-        cold_limit_version: Version of the pool's cold limit from which
-            `cold_rate` was computed.
+        pacer: Paces this VM's requests while the upstream accepts a limited
+            rate.
+        ranked_in: Fleet for which `sender_rank` was computed, or None.
+        sender_rank: Position of this VM among those that may send to the
+            upstream while its rate is limited.
         warm_objects: Objects that the upstream served recently for this VM,
             least recently used first.
         first_seen_at: Time at which this VM first received the record.
@@ -87,10 +87,9 @@
         "suspect_until",
         "full_until",
         "cold_until",
-        "cold_rate",
-        "cold_tokens",
-        "cold_filled_at",
-        "cold_limit_version",
+        "pacer",
+        "ranked_in",
+        "sender_rank",
         "warm_objects",
         "first_seen_at",
         "answered_at",
@@ -113,17 +112,16 @@
         self.suspect_until = now
         self.full_until = now
         self.cold_until = now
-        self.cold_rate: float | None = None
-        self.cold_tokens = 1.0
-        self.cold_filled_at = now
-        self.cold_limit_version = 0
+        self.pacer = pacing.Pacer(now)
+        self.ranked_in: pacing.Fleet | None = None
+        self.sender_rank = 0
         self.warm_objects: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
         self.first_seen_at = now
         self.answered_at = now
         self.pending: list[PendingRequest] = []
-        self.name_hash = hash64(record.id)
+        self.name_hash = hashing.hash64(record.id)
 
     def load(self, now: float) -> float:
         """Returns the estimated number of requests on the upstream now.
@@ -219,17 +217,12 @@
         factor = _decay_factor(now - self.decayed_at, FAILURE_HALF_LIFE_SECONDS)
         return self.failure_ratio * factor
 
-    def admits(self, now: float) -> bool:
-        """Returns whether this VM may send a request to the upstream now.
-
-        While the upstream is cold and its rate is limited, a token is needed.
-        """
-        if self.cold_until <= now or self.cold_rate is None:
-            return True
-        refill = (now - self.cold_filled_at) * self.cold_rate
-        self.cold_tokens = min(1.0, self.cold_tokens + refill)
-        self.cold_filled_at = now
-        return self.cold_rate > 0 and self.cold_tokens >= 1.0
+    def rank_in(self, fleet: pacing.Fleet) -> int:
+        """Returns this VM's position among the VMs that may send."""
+        if self.ranked_in is not fleet:
+            self.ranked_in = fleet
+            self.sender_rank = fleet.own_rank(self.region, self.name_hash)
+        return self.sender_rank
 
     def begin(self, expected: float, now: float) -> PendingRequest:
         """Records that a request is sent to the upstream.
@@ -241,8 +234,7 @@
         Returns:
             The pending request, to be passed to `end`.
         """
-        if self.cold_until > now and self.cold_rate is not None:
-            self.cold_tokens -= 1.0
+        self.pacer.take()
         request = PendingRequest(now, expected)
         self.pending.append(request)
         self.in_flight += 1
@@ -264,11 +256,5 @@
         )
 
 
-def hash64(name: str) -> int:
-    """Returns a 64-bit hash of a name; it is the same on every VM."""
-    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 def _decay_factor(age: float, half_life: float) -> float:
     return float(0.5 ** (max(0.0, age) / half_life))
