--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -6,6 +6,7 @@
 import multidict
 
 from pollenseam import errors
+from pollenseam import fingerprints
 from pollenseam import routing
 from pollenseam import steering
 
@@ -207,6 +208,7 @@
         "connect_failures",
         "reply",
         "refusal",
+        "_fingerprint",
     )
 
     def __init__(
@@ -232,6 +234,17 @@
         self.connect_failures = 0
         self.reply: Reply | None = None
         self.refusal: errors.Refusal | None = None
+        self._fingerprint = b""
+
+    @property
+    def fingerprint(self) -> bytes:
+        """Fingerprint of the request, computed when it is first needed."""
+        call = self.call
+        if not self._fingerprint:
+            self._fingerprint = fingerprints.fingerprint(
+                call.method, call.host, call.target, call.workspace, call.body
+            )
+        return self._fingerprint
 
     @property
     def object(self) -> str | None:
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -9,6 +9,7 @@
 import yarl
 
 from pollenseam import calls
+from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
@@ -25,6 +26,13 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 # Retry-After while no upstream is known to accept requests soon.
 NO_UPSTREAM_SECONDS = 1.0
+# Errors that a connection raises when the upstream ends.
+BREAKS = (
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+    ConnectionError,
+)
 # A call is refused when less time is left than the expected wait and this part
 # of the expected work, the least that the work is assumed to need.
 MIN_WORK_RATIO = 0.6
@@ -45,6 +53,7 @@
         retry_budgets: Retry budgets by service name.
         reply_buffers: Bodies of replies that are being received.
         stated_limits: Rates that upstreams state.
+        crash_watch: Finds out which upstreams ended with requests of this VM.
         session: HTTP client session for all upstreams.
     """
 
@@ -57,6 +66,7 @@
         retry_slack: float,
         retry_window_seconds: float,
         stated_limits: statedlimits.Table,
+        crash_watch: crashwatch.CrashWatch,
     ) -> None:
         self.protocol = protocol
         self.log = log
@@ -69,12 +79,14 @@
         self.retry_budgets: dict[str, retries.Budget] = {}
         self.reply_buffers = replybuffers.ReplyBuffers()
         self.stated_limits = stated_limits
+        self.crash_watch = crash_watch
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS
         )
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
+        self.crash_watch.close()
         await self.session.close()
 
     async def dispatch(self, active_call: calls.ActiveCall) -> calls.Reply:
@@ -227,6 +239,10 @@
             ) from None
         except (aiohttp.ClientError, OSError, ValueError) as error:
             upstream.record_unreachable(self.now())
+            if isinstance(error, BREAKS):
+                self.crash_watch.record_break(
+                    active_call.fingerprint, upstream.record
+                )
             self._record_broken(active_call, upstream, started, repr(error))
             return None
 
@@ -472,5 +488,8 @@
             load=upstream.load(self.now()),
             runs=active_call.executions,
             arrivals=active_call.deliveries,
+            fingerprint=(
+                active_call.fingerprint.hex() if outcome == "broken" else None
+            ),
             why=why or None,
         )
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -7,6 +7,7 @@
 from pollenseam import buckets
 from pollenseam import calls
 from pollenseam import controlmessages
+from pollenseam import crashwatch
 from pollenseam import dispatcher
 from pollenseam import errors
 from pollenseam import events
@@ -154,6 +155,7 @@
             settings.retry_slack,
             settings.retry_window_seconds,
             self.exchange.stated_limits,
+            crashwatch.CrashWatch(log, self.now, self._record_crash),
         )
         self.is_leaving = False
         self.in_flight = 0
@@ -348,6 +350,7 @@
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
         self.exchange.stated_limits.retain(self.registry.upstreams)
+        self.dispatcher.crash_watch.record_upstreams(self.registry.upstreams)
         self._divide_cold_rates()
 
     def _divide_cold_rates(self) -> None:
@@ -358,6 +361,19 @@
             rate = service.cold_rate if service is not None else 0.0
             pool.set_cold_limit(rate, vms)
 
+    def _record_crash(self, run: crashwatch.CrashedRun) -> None:
+        """Records that an upstream ended while it had a request."""
+        latest = self.registry.upstreams.get(run.upstream)
+        if latest is not None and latest.state == registry.LEAVING:
+            # It ended as planned.
+            return
+        self.log.emit_often(
+            "run-ended-by-crash",
+            fingerprint=run.fingerprint.hex(),
+            upstream=run.upstream,
+            age_ms=int((self.now() - run.broken_at) * 1000),
+        )
+
     def _log_freshness(self) -> None:
         is_fresh = self.is_fresh()
         if is_fresh != self._was_fresh:
