--- a/tests/machines.py
+++ b/tests/machines.py
@@ -21,6 +21,7 @@
 START_TIMEOUT_SECONDS = 20.0
 POLL_INTERVAL_SECONDS = 0.02
 HEARTBEAT_SECONDS = 0.5
+RESTART_SECONDS = 1.0
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r2"}
 HOST = "shop.example"
 
@@ -125,9 +126,13 @@
         self.status = 200
         self.address = ""
         self.runner = None
+        self.deadly_path = None
+        self.crash_times = []
+        self.tasks = set()
 
     async def start(self):
-        self.runner = web.ServerRunner(web.Server(self.handle))
+        self.web_server = web.Server(self.handle)
+        self.runner = web.ServerRunner(self.web_server)
         await self.runner.setup()
         site = web.TCPSite(self.runner, f"{self.cluster.address_prefix}.250", 0)
         await site.start()
@@ -141,6 +146,10 @@
         if request.headers.get("X-Expect-Instance") != self.id:
             return web.Response(status=421, headers=reply_headers)
         self.arrived_at.append(time.monotonic())
+        if request.path == self.deadly_path:
+            task = asyncio.create_task(self.crash())
+            self.tasks.add(task)
+            await asyncio.sleep(RESTART_SECONDS)
         body = await request.read()
         self.received_requests.append(
             (request.method, request.raw_path, request.headers)
@@ -152,7 +161,23 @@
             status=self.status, headers=reply_headers, body=b"done " + body
         )
 
+    async def crash(self):
+        """Ends as a crashed process does; starts again after a while."""
+        self.crash_times.append(time.monotonic())
+        self.address = ""
+        for site in list(self.runner.sites):
+            await site.stop()
+        for connection in self.web_server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await asyncio.sleep(RESTART_SECONDS)
+        await self.start()
+        self.sequence = 0
+        self.started_at_ms = time.time_ns() // 1_000_000
+
     async def send_heartbeat(self, state="ready", **overrides):
+        if not self.address:
+            return 0, None
         self.sequence += 1
         body = {
             "addr": self.address,
