BUDGET: a request that crashed three upstreams is sent no more, by any VM

Cause: an entry VM forgets at the end of a call what the fleet should know. Each call knew its own attempts only; a client that asks again begins anew. Class: knowledge about a request that ends with the call, where the request outlives it.

Change: a request that an upstream had when it ended (a broken connection and a refused one, or a later start; not a reset alone) is reported to the leader with the renewal that follows at once, by its fingerprint. A convicted request is refused at once with 503, which is true: it has not run; Retry-After says for how long. A suspect is sent once a call, to the upstream that has least to lose.

Ruled out: our own retries (71 ids, half of the 142 sends were first attempts); memory of one VM alone (sends at all 11 VMs; three crashes each would be 33).

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -192,6 +192,8 @@
             sent again; or None.
         refusal: Refusal for the failed attempts so far, or None. Attempts that
             may have been executed take precedence.
+        is_risky: Whether the call may crash the upstream that runs it.
+        max_runs: Number of upstreams that may run the call.
     """
 
     __slots__ = (
@@ -208,6 +210,8 @@
         "connect_failures",
         "reply",
         "refusal",
+        "is_risky",
+        "max_runs",
         "_fingerprint",
     )
 
@@ -234,6 +238,8 @@
         self.connect_failures = 0
         self.reply: Reply | None = None
         self.refusal: errors.Refusal | None = None
+        self.is_risky = False
+        self.max_runs = named_route.route.max_attempts
         self._fingerprint = b""
 
     @property
@@ -269,6 +275,7 @@
             self.tried,
             target_seconds,
             RESERVE_RATIOS[level],
+            self.is_risky,
         )
 
     def may_retry(self) -> bool:
@@ -277,4 +284,4 @@
             return False
         if self.executions and not self.named_route.route.is_idempotent:
             return False
-        return self.executions < self.named_route.route.max_attempts
+        return self.executions < self.max_runs
--- /dev/null
+++ b/src/pollenseam/crashes.py
@@ -0,0 +1,250 @@
+"""Which requests are known to crash the upstreams that run them.
+
+Entry VMs report each request that an upstream had when it ended, and each such
+request that later ran to a good end. The leader convicts a request of which
+MIN_CRASHES runs ended so, and none well. All other requests that shared those
+upstreams are then cleared of these crashes, as they are explained.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+MIN_CRASHES = 3
+# Ends of several upstreams within this time count as one: they have a common
+# cause, such as a rack that lost power.
+COMMON_CAUSE_SECONDS = 0.25
+# A crash is forgotten after this time.
+CRASH_SECONDS = 300.0
+# After this time a convicted request may run again. Its crashes are then
+# forgotten.
+CONVICTION_SECONDS = 900.0
+# Suspects that are kept; those that were suspected first are dropped first.
+MAX_SUSPECTS = 1024
+# No more requests than this are convicted at a time. If so many seem to crash
+# upstreams, something else does.
+MAX_CONVICTED = 64
+NEVER = float("-inf")
+
+
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """One run of a request that ended with its upstream.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        upstream: Id of the upstream.
+        started_ms: Start of the upstream in Unix milliseconds.
+        age_ms: Time since the connection broke, in milliseconds.
+    """
+
+    fingerprint: bytes
+    upstream: str
+    started_ms: int
+    age_ms: int
+
+    @property
+    def start(self) -> "Start":
+        """The start of the upstream that ended."""
+        return self.upstream, self.started_ms
+
+
+class Suspicion(msgspec.Struct, array_like=True, frozen=True):
+    """What is known of one request, as sent between VMs.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        crashes: Crashes that no other request explains; 0 for none.
+        convicted_ms: Milliseconds for which the conviction still holds; 0 if
+            the request is not convicted.
+    """
+
+    fingerprint: bytes
+    crashes: int
+    convicted_ms: int = 0
+
+
+# A start of an upstream: its id, and its start in Unix milliseconds.
+Start = tuple[str, int]
+
+
+class Suspect:
+    """A request that upstreams had when they ended. Times are in seconds.
+
+    Attributes:
+        crashes: Time of each crash, by start of the upstream.
+        ended_well_at: Time of the last run to a good end.
+        convicted_until: Time until which the request is convicted.
+        changed_at: Time of the last change.
+        revision: Revision of the docket at the last change.
+    """
+
+    __slots__ = (
+        "crashes",
+        "ended_well_at",
+        "convicted_until",
+        "changed_at",
+        "revision",
+    )
+
+    def __init__(self) -> None:
+        self.crashes: dict[Start, float] = {}
+        self.ended_well_at = NEVER
+        self.convicted_until = NEVER
+        self.changed_at = 0.0
+        self.revision = 0
+
+    def count(self) -> int:
+        """Returns the number of crashes; those of a common cause are one."""
+        count = 0
+        last = NEVER
+        for at in sorted(self.crashes.values()):
+            if at - last > COMMON_CAUSE_SECONDS:
+                count += 1
+                last = at
+        return count
+
+    def is_convicted(self, now: float) -> bool:
+        """Returns whether the request must not be sent now."""
+        return now < self.convicted_until
+
+
+class Docket:
+    """The leader's record of all suspects.
+
+    Attributes:
+        suspects: Suspects by fingerprint, those suspected first first.
+        explained: Crashes of convicted requests, by start of the upstream.
+        revision: Number of changes.
+    """
+
+    __slots__ = ("suspects", "explained", "revision")
+
+    def __init__(self) -> None:
+        self.suspects: dict[bytes, Suspect] = {}
+        self.explained: dict[Start, float] = {}
+        self.revision = 0
+
+    def record_good_end(self, fingerprint: bytes, now: float) -> None:
+        """Clears a request, as a run of it came to a good end."""
+        suspect = self._suspect(fingerprint)
+        suspect.ended_well_at = now
+        suspect.convicted_until = NEVER
+        suspect.crashes.clear()
+        self._touch(suspect, now)
+
+    def record_crash(self, report: CrashReport, now: float) -> None:
+        """Records that a run of a request ended with its upstream."""
+        at = now - report.age_ms / 1000
+        suspect = self._suspect(report.fingerprint)
+        if at <= suspect.ended_well_at or report.start in suspect.crashes:
+            return
+        if suspect.is_convicted(now):
+            suspect.crashes[report.start] = at
+            self._explain([report.start], now)
+        elif report.start not in self.explained:
+            suspect.crashes[report.start] = at
+            self._touch(suspect, now)
+
+    def convict(self, now: float) -> list[bytes]:
+        """Convicts the requests that crashed enough upstreams.
+
+        The one with the most crashes is convicted first, as its crashes may
+        explain those of others.
+
+        Returns:
+            Fingerprints of the requests that are convicted now.
+        """
+        convicted: list[bytes] = []
+        while self.count_convicted(now) < MAX_CONVICTED:
+            fingerprint = self._worst_suspect(now)
+            if fingerprint is None:
+                break
+            suspect = self.suspects[fingerprint]
+            suspect.convicted_until = now + CONVICTION_SECONDS
+            self._touch(suspect, now)
+            self._explain(suspect.crashes, now)
+            convicted.append(fingerprint)
+        return convicted
+
+    def restore(self, suspicion: Suspicion, now: float) -> None:
+        """Takes over the conviction of an earlier leader from a VM."""
+        suspect = self._suspect(suspicion.fingerprint)
+        if suspect.is_convicted(now) or suspect.ended_well_at > NEVER:
+            return
+        suspect.convicted_until = now + suspicion.convicted_ms / 1000
+        self._touch(suspect, now)
+
+    def changes_since(self, revision: int, now: float) -> list[Suspicion]:
+        """Returns what is known of the suspects that changed since then."""
+        return [
+            Suspicion(
+                fingerprint,
+                suspect.count(),
+                max(0, int((suspect.convicted_until - now) * 1000))
+                if suspect.is_convicted(now)
+                else 0,
+            )
+            for fingerprint, suspect in self.suspects.items()
+            if suspect.revision > revision
+        ]
+
+    def expire(self, now: float) -> None:
+        """Drops suspects of which nothing has been heard for long."""
+        self.suspects = {
+            fingerprint: suspect
+            for fingerprint, suspect in self.suspects.items()
+            if suspect.is_convicted(now)
+            or now - suspect.changed_at < CRASH_SECONDS
+        }
+        self.explained = {
+            start: at
+            for start, at in self.explained.items()
+            if now - at < CRASH_SECONDS
+        }
+
+    def count_convicted(self, now: float) -> int:
+        """Returns the number of convicted requests."""
+        return sum(s.is_convicted(now) for s in self.suspects.values())
+
+    def _suspect(self, fingerprint: bytes) -> Suspect:
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self.suspects[fingerprint] = Suspect()
+            if len(self.suspects) > MAX_SUSPECTS:
+                self._drop_oldest()
+        return suspect
+
+    def _drop_oldest(self) -> None:
+        for fingerprint, suspect in self.suspects.items():
+            if suspect.convicted_until < suspect.changed_at:
+                del self.suspects[fingerprint]
+                return
+
+    def _worst_suspect(self, now: float) -> bytes | None:
+        worst: bytes | None = None
+        most = 0
+        for fingerprint, suspect in self.suspects.items():
+            if suspect.is_convicted(now) or len(suspect.crashes) <= most:
+                continue
+            if suspect.count() >= MIN_CRASHES:
+                worst = fingerprint
+                most = len(suspect.crashes)
+        return worst
+
+    def _explain(self, starts: Iterable[Start], now: float) -> None:
+        """Clears all other suspects of crashes that are explained."""
+        explained = dict.fromkeys(starts, now)
+        self.explained |= explained
+        for suspect in self.suspects.values():
+            if suspect.is_convicted(now):
+                continue
+            shared = explained.keys() & suspect.crashes.keys()
+            for start in shared:
+                del suspect.crashes[start]
+            if shared:
+                self._touch(suspect, now)
+
+    def _touch(self, suspect: Suspect, now: float) -> None:
+        self.revision += 1
+        suspect.revision = self.revision
+        suspect.changed_at = now
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -18,6 +18,7 @@
 from pollenseam import sessions
 from pollenseam import statedlimits
 from pollenseam import steering
+from pollenseam import suspects
 from pollenseam import upstreamstats
 from pollenseam import vm
 
@@ -53,6 +54,7 @@
         retry_budgets: Retry budgets by service name.
         reply_buffers: Bodies of replies that are being received.
         stated_limits: Rates that upstreams state.
+        watchlist: Requests that may crash upstreams.
         crash_watch: Finds out which upstreams ended with requests of this VM.
         session: HTTP client session for all upstreams.
     """
@@ -66,6 +68,7 @@
         retry_slack: float,
         retry_window_seconds: float,
         stated_limits: statedlimits.Table,
+        watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
     ) -> None:
         self.protocol = protocol
@@ -79,6 +82,7 @@
         self.retry_budgets: dict[str, retries.Budget] = {}
         self.reply_buffers = replybuffers.ReplyBuffers()
         self.stated_limits = stated_limits
+        self.watchlist = watchlist
         self.crash_watch = crash_watch
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS
@@ -96,9 +100,10 @@
         returns that reply.
 
         Raises:
-            RefusedError: No upstream sent a complete reply in time, or none
-                has room.
+            RefusedError: No upstream sent a complete reply in time, none has
+                room, or the call is convicted of crashing upstreams.
         """
+        self._check_crashes(active_call)
         self._budget(active_call.service).record_request(self.now())
         while True:
             try:
@@ -109,7 +114,9 @@
                 raise
             upstream = choice.upstream
             active_call.tried.add(upstream.record.id)
-            pending = upstream.begin(choice.expected_seconds, self.now())
+            pending = upstream.begin(
+                choice.expected_seconds, self.now(), active_call.is_risky
+            )
             try:
                 reply = await self._attempt(active_call, choice)
             finally:
@@ -117,6 +124,24 @@
             if reply is not None:
                 return reply
 
+    def _check_crashes(self, active_call: calls.ActiveCall) -> None:
+        """Refuses a convicted call, and sends a suspect one with care."""
+        watchlist = self.watchlist
+        if watchlist.is_empty:
+            return
+        now = self.now()
+        fingerprint = active_call.fingerprint
+        until = watchlist.convicted_until(fingerprint, now)
+        if until is not None:
+            raise errors.refuse(
+                errors.Kind.CRASHES_UPSTREAMS,
+                f"each upstream that ran request {fingerprint.hex()} crashed",
+                retry_after=until - now,
+            )
+        if watchlist.crash_count(fingerprint):
+            active_call.is_risky = True
+            active_call.max_runs = 1
+
     def _budget(self, service: str) -> retries.Budget:
         budget = self.retry_budgets.get(service)
         if budget is None:
@@ -127,7 +152,9 @@
 
     def _choose(self, active_call: calls.ActiveCall) -> steering.Choice:
         now = self.now()
-        if active_call.refusal is not None and not active_call.may_retry():
+        if active_call.refusal is not None and not self._may_retry(
+            active_call, now
+        ):
             raise errors.RefusedError(active_call.refusal)
         choice = active_call.pool.choose(active_call.requirements(), now)
         if choice is None:
@@ -155,6 +182,14 @@
             )
         return choice
 
+    def _may_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
+        if not active_call.may_retry():
+            return False
+        if not active_call.is_risky:
+            return True
+        until = self.watchlist.convicted_until(active_call.fingerprint, now)
+        return until is None
+
     def _no_upstream(
         self, active_call: calls.ActiveCall, now: float
     ) -> errors.RefusedError:
@@ -240,6 +275,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             upstream.record_unreachable(self.now())
             if isinstance(error, BREAKS):
+                active_call.is_risky = True
                 self.crash_watch.record_break(
                     active_call.fingerprint, upstream.record
                 )
@@ -390,6 +426,8 @@
         upstream = choice.upstream
         active_call.deliveries += 1
         active_call.executions += 1
+        if not self.watchlist.is_empty:
+            self.watchlist.record_good_end(active_call.fingerprint)
         if reply.status < 500:
             self._record_served(active_call, choice, reply.status, started)
             self._update_estimates(active_call, choice, now - started)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -155,6 +155,7 @@
             settings.retry_slack,
             settings.retry_window_seconds,
             self.exchange.stated_limits,
+            self.exchange.watchlist,
             crashwatch.CrashWatch(log, self.now, self._record_crash),
         )
         self.is_leaving = False
@@ -373,6 +374,8 @@
             upstream=run.upstream,
             age_ms=int((self.now() - run.broken_at) * 1000),
         )
+        self.exchange.watchlist.record_crash(run)
+        self.shares.wake.set()
 
     def _log_freshness(self) -> None:
         is_fresh = self.is_fresh()
--- a/src/pollenseam/errors.py
+++ b/src/pollenseam/errors.py
@@ -21,6 +21,7 @@
     OVER_RATE = "over-rate"
     UPSTREAM_FAILED = "upstream-failed"
     NO_ROOM = "no-room"
+    CRASHES_UPSTREAMS = "crashes-upstreams"
     NOT_FRESH = "not-fresh"
     STOPPING = "stopping"
     NO_QUORUM = "no-quorum"
@@ -70,6 +71,7 @@
     Kind.OVER_RATE: Answer(429, retry_after=1),
     Kind.UPSTREAM_FAILED: Answer(502, executed="unknown"),
     Kind.NO_ROOM: Answer(503, retry_after=1, exit_code=5),
+    Kind.CRASHES_UPSTREAMS: Answer(503, exit_code=5),
     Kind.NOT_FRESH: Answer(503, retry_after=1, exit_code=5),
     Kind.STOPPING: Answer(503, retry_after=1, exit_code=5),
     Kind.NO_QUORUM: Answer(503, retry_after=1, exit_code=5),
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -5,38 +5,59 @@
 within about two renewals. A new leader receives the records that the VMs have.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
+from pollenseam import crashes
 from pollenseam import statedlimits
+from pollenseam import suspects
+
+
+class Revisions(msgspec.Struct, array_like=True, frozen=True):
+    """Which of a leader's records an entry VM has received.
+
+    Attributes:
+        term: Term of the leader.
+        stated_limits: Revision of the stated limits.
+        crashes: Revision of the record of crashes.
+    """
+
+    term: int = 0
+    stated_limits: int = 0
+    crashes: int = 0
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """Observations that an entry VM sends to the leader.
 
     Attributes:
-        known_term: Term of the leader whose update was received last.
-        known_revision: Revision of the update that was received last.
+        known: What the VM has received.
         stated_limits: Rates stated by upstreams.
+        crashed_runs: Requests that an upstream had when it ended.
+        ended_well: Fingerprints of suspects that ran to a good end.
+        convictions: Convictions that the VM knows, if the leader may be new.
     """
 
-    known_term: int = 0
-    known_revision: int = 0
+    known: Revisions = Revisions()
     stated_limits: tuple[statedlimits.StatedLimit, ...] = ()
+    crashed_runs: tuple[crashes.CrashReport, ...] = ()
+    ended_well: tuple[bytes, ...] = ()
+    convictions: tuple[crashes.Suspicion, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True):
     """Observations of all VMs that the leader sends to an entry VM.
 
     Attributes:
-        term: Term of the leader.
-        revision: Revision of the leader's records.
-        stated_limits: Rates stated by upstreams that changed after the
-            revision that the VM knows.
+        revisions: What the VM has received with this update.
+        stated_limits: Rates stated by upstreams that changed since.
+        suspicions: Suspected requests that changed since.
     """
 
-    term: int
-    revision: int
+    revisions: Revisions
     stated_limits: list[statedlimits.StatedLimit]
+    suspicions: list[crashes.Suspicion]
 
 
 class Exchange:
@@ -44,16 +65,16 @@
 
     Attributes:
         stated_limits: Rates stated by upstreams.
-        known_term: Term of the last update.
-        known_revision: Revision of the last update.
+        watchlist: Requests that may crash upstreams.
+        known: What was received from the leader.
     """
 
-    __slots__ = ("stated_limits", "known_term", "known_revision")
+    __slots__ = ("stated_limits", "watchlist", "known")
 
     def __init__(self) -> None:
         self.stated_limits = statedlimits.Table()
-        self.known_term = 0
-        self.known_revision = 0
+        self.watchlist = suspects.Watchlist()
+        self.known = Revisions()
 
     def build_report(self, is_full: bool, now: float) -> Report:
         """Returns the report of the next renewal.
@@ -62,18 +83,23 @@
             is_full: Whether to send all records, as the leader may be new.
             now: Time in seconds.
         """
+        watchlist = self.watchlist
+        watchlist.expire(now)
         return Report(
-            self.known_term,
-            self.known_revision,
+            self.known,
             tuple(self.stated_limits.unreported(is_full, now)),
+            tuple(watchlist.reports(is_full, now)),
+            tuple(watchlist.ended_well),
+            tuple(watchlist.convictions(now)) if is_full else (),
         )
 
     def receive(self, report: Report, update: Update, now: float) -> None:
         """Adopts the leader's answer to a report."""
-        self.known_term = update.term
-        self.known_revision = update.revision
+        self.known = update.revisions
         self.stated_limits.mark_reported(report.stated_limits)
         self.stated_limits.adopt(update.stated_limits, now)
+        self.watchlist.mark_reported(report.crashed_runs, report.ended_well)
+        self.watchlist.adopt(update.suspicions, now)
 
 
 class Board:
@@ -81,19 +107,39 @@
 
     Attributes:
         stated_limits: Rates stated by upstreams.
+        docket: Requests that may crash upstreams.
+        on_conviction: Called with the fingerprint of each request that is
+            convicted.
     """
 
-    __slots__ = ("stated_limits",)
+    __slots__ = ("stated_limits", "docket", "on_conviction")
 
-    def __init__(self) -> None:
+    def __init__(self, on_conviction: Callable[[bytes], None]) -> None:
         self.stated_limits = statedlimits.Table()
+        self.docket = crashes.Docket()
+        self.on_conviction = on_conviction
 
     def answer(self, report: Report, term: int, now: float) -> Update:
         """Adopts an entry VM's report and returns what it does not know."""
         self.stated_limits.adopt(report.stated_limits, now)
-        since = report.known_revision if report.known_term == term else 0
+        self._adopt_crashes(report, now)
+        known = report.known if report.known.term == term else Revisions()
+        revisions = Revisions(
+            term, self.stated_limits.revision, self.docket.revision
+        )
         return Update(
-            term,
-            self.stated_limits.revision,
-            self.stated_limits.changes_since(since, now),
+            revisions,
+            self.stated_limits.changes_since(known.stated_limits, now),
+            self.docket.changes_since(known.crashes, now),
         )
+
+    def _adopt_crashes(self, report: Report, now: float) -> None:
+        docket = self.docket
+        for suspicion in report.convictions:
+            docket.restore(suspicion, now)
+        for crashed_run in report.crashed_runs:
+            docket.record_crash(crashed_run, now)
+        for fingerprint in report.ended_well:
+            docket.record_good_end(fingerprint, now)
+        for fingerprint in docket.convict(now):
+            self.on_conviction(fingerprint)
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -37,6 +37,8 @@
 # Penalty for an upstream that has just shed a request.
 SHED_COST_SECONDS = 0.3
 COLD_COST_SECONDS = 1.0
+# Penalty per request that a crash of the upstream would take with it.
+RISK_COST_SECONDS = 0.5
 # Large enough that a suspect upstream is chosen only if no other serves.
 SUSPECT_COST_SECONDS = 100.0
 # For this long after an upstream was first seen, its cache is still filling:
@@ -176,6 +178,7 @@
         regions: Regions that may serve the request; all if empty.
         tried: Ids of upstreams that must not get the request again.
         target_seconds: Time within which a response should be expected.
+        is_risky: Whether the request may crash the upstream that runs it.
         reserve_ratio: Part (0 to 1) of an upstream's limited rate, of what has
             been saved up, that is left to requests of higher priorities.
     """
@@ -187,6 +190,7 @@
         "tried",
         "target_seconds",
         "reserve_ratio",
+        "is_risky",
     )
 
     def __init__(
@@ -197,9 +201,11 @@
         tried: Container[str],
         target_seconds: float = 1.0,
         reserve_ratio: float = 0.0,
+        is_risky: bool = False,
     ) -> None:
         self.target_seconds = target_seconds
         self.reserve_ratio = reserve_ratio
+        self.is_risky = is_risky
         self.route = route
         self.object = object
         self.regions = regions
@@ -563,6 +569,10 @@
             cost += CACHE_MISS_COST_SECONDS
         if rank > 0 and upstream.region != self.region:
             cost += OVERFLOW_COST_SECONDS
+        if requirements.is_risky:
+            cost += RISK_COST_SECONDS * upstream.load(now)
+        if upstream.risky_in_flight:
+            cost += RISK_COST_SECONDS
         return cost
 
     def _ranking(self, object: str | None) -> _Ranking:
--- a/src/pollenseam/upstreamstats.py
+++ b/src/pollenseam/upstreamstats.py
@@ -29,13 +29,17 @@
     Attributes:
         sent_at: Time in seconds at which the request was sent.
         expected_seconds: Expected time to the response, in seconds.
+        is_risky: Whether the request may crash the upstream.
     """
 
-    __slots__ = ("sent_at", "expected_seconds")
+    __slots__ = ("sent_at", "expected_seconds", "is_risky")
 
-    def __init__(self, sent_at: float, expected_seconds: float) -> None:
+    def __init__(
+        self, sent_at: float, expected_seconds: float, is_risky: bool
+    ) -> None:
         self.sent_at = sent_at
         self.expected_seconds = expected_seconds
+        self.is_risky = is_risky
 
 
 class UpstreamStats:
@@ -71,6 +75,7 @@
         first_seen_at: Time at which this VM first received the record.
         answered_at: Time of the last response or failure to respond.
         pending: Requests without a response, oldest first.
+        risky_in_flight: Requests of this VM that may crash the upstream.
         name_hash: Hash of the upstream's id, for rendezvous hashing.
     """
 
@@ -94,6 +99,7 @@
         "first_seen_at",
         "answered_at",
         "pending",
+        "risky_in_flight",
         "name_hash",
     )
 
@@ -121,6 +127,7 @@
         self.first_seen_at = now
         self.answered_at = now
         self.pending: list[PendingRequest] = []
+        self.risky_in_flight = 0
         self.name_hash = hashing.hash64(record.id)
 
     def load(self, now: float) -> float:
@@ -224,18 +231,22 @@
             self.sender_rank = fleet.own_rank(self.region, self.name_hash)
         return self.sender_rank
 
-    def begin(self, expected: float, now: float) -> PendingRequest:
+    def begin(
+        self, expected: float, now: float, is_risky: bool = False
+    ) -> PendingRequest:
         """Records that a request is sent to the upstream.
 
         Args:
             expected: Expected time to the response, in seconds.
             now: Time in seconds.
+            is_risky: Whether the request may crash the upstream.
 
         Returns:
             The pending request, to be passed to `end`.
         """
         self.pacer.take()
-        request = PendingRequest(now, expected)
+        request = PendingRequest(now, expected, is_risky)
+        self.risky_in_flight += is_risky
         self.pending.append(request)
         self.in_flight += 1
         return request
@@ -243,6 +254,7 @@
     def end(self, request: PendingRequest) -> None:
         """Records that a request ended, with or without a response."""
         self.pending.remove(request)
+        self.risky_in_flight -= request.is_risky
         self.in_flight -= 1
 
     def is_unreachable(self, now: float) -> bool:
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -9,7 +9,7 @@
 
     def __init__(self, count):
         self.exchanges = [observations.Exchange() for _ in range(count)]
-        self.board = observations.Board()
+        self.board = observations.Board(lambda fingerprint: None)
         self.term = 1
 
     def renew(self, now, is_full=False):
@@ -40,7 +40,7 @@
     fleet.renew(0.0)
     fleet.renew(0.5)
     fleet.exchanges[0] = observations.Exchange()
-    fleet.board = observations.Board()
+    fleet.board = observations.Board(lambda fingerprint: None)
     fleet.term = 2
     fleet.renew(1.0, is_full=True)
     fleet.renew(1.5)
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,111 @@
+"""What an entry VM knows of requests that may crash upstreams."""
+
+from pollenseam import crashes
+from pollenseam import crashwatch
+from pollenseam import observations
+from pollenseam import suspects
+
+
+def crash(watchlist, fingerprint, upstream, now=0.0):
+    watchlist.record_crash(crashwatch.CrashedRun(fingerprint, upstream, 1, now))
+
+
+class Fleet:
+    """Entry VMs and their leader; all calls arrive at once."""
+
+    def __init__(self, count):
+        self.exchanges = [observations.Exchange() for _ in range(count)]
+        self.term = 0
+        self.change_leader()
+
+    def change_leader(self):
+        self.term += 1
+        self.convicted = []
+        self.board = observations.Board(self.convicted.append)
+
+    def renew(self, now, is_full=False):
+        for exchange in self.exchanges:
+            report = exchange.build_report(is_full, now)
+            update = self.board.answer(report, self.term, now)
+            exchange.receive(report, update, now)
+
+    def refusing(self, fingerprint, now):
+        return sum(
+            e.watchlist.convicted_until(fingerprint, now) is not None
+            for e in self.exchanges
+        )
+
+
+def convict(fleet):
+    for number in range(3):
+        watchlist = fleet.exchanges[number].watchlist
+        crash(watchlist, b"d", f"i{number}", float(number))
+        fleet.renew(float(number))
+    fleet.renew(2.5)
+
+
+def test_all_vms_refuse_a_request_that_crashed_upstreams_through_several():
+    fleet = Fleet(5)
+    convict(fleet)
+    assert fleet.convicted == [b"d"]
+    assert fleet.refusing(b"d", 3.0) == 5
+
+
+def test_a_conviction_survives_the_leader_and_the_vms_that_reported_it():
+    """Guards against three more crashes after each failover."""
+    fleet = Fleet(5)
+    convict(fleet)
+    for number in range(3):
+        fleet.exchanges[number] = observations.Exchange()
+    fleet.change_leader()
+    fleet.renew(3.0, is_full=True)
+    fleet.renew(3.5)
+    assert fleet.refusing(b"d", 4.0) == 5
+    until = {e.watchlist.convicted_until(b"d", 4.0) for e in fleet.exchanges}
+    assert max(until) <= 2.0 + crashes.CONVICTION_SECONDS + 0.1
+
+
+def test_crashes_before_a_failover_count_after_it():
+    fleet = Fleet(3)
+    for number in range(2):
+        crash(fleet.exchanges[0].watchlist, b"d", f"i{number}", float(number))
+        fleet.renew(float(number))
+    fleet.change_leader()
+    fleet.renew(2.0, is_full=True)
+    crash(fleet.exchanges[1].watchlist, b"d", "i2", 3.0)
+    fleet.renew(3.0)
+    fleet.renew(3.5)
+    assert fleet.refusing(b"d", 4.0) == 3
+
+
+def test_a_good_end_at_one_vm_clears_a_request_at_all():
+    fleet = Fleet(3)
+    for number in range(2):
+        crash(fleet.exchanges[number].watchlist, b"p", f"i{number}")
+    fleet.renew(0.0)
+    fleet.renew(0.5)
+    assert fleet.exchanges[2].watchlist.crash_count(b"p") > 0
+    fleet.exchanges[2].watchlist.record_good_end(b"p")
+    fleet.renew(1.0)
+    fleet.renew(1.5)
+    assert [e.watchlist.crash_count(b"p") for e in fleet.exchanges] == [0] * 3
+    assert all(e.watchlist.is_empty for e in fleet.exchanges)
+
+
+def test_a_good_end_before_the_report_makes_the_report_needless():
+    watchlist = suspects.Watchlist()
+    crash(watchlist, b"p", "i1")
+    watchlist.record_good_end(b"p")
+    assert watchlist.reports(False, 1.0) == []
+    assert watchlist.is_empty
+
+
+def test_what_a_vm_keeps_and_sends_is_bounded():
+    watchlist = suspects.Watchlist()
+    for number in range(3 * crashes.MAX_SUSPECTS):
+        crash(watchlist, str(number).encode(), "i1")
+    assert len(watchlist.own_runs) <= crashes.MAX_SUSPECTS
+    assert len(watchlist.own_counts) <= crashes.MAX_SUSPECTS
+    assert len(watchlist.reports(True, 0.0)) <= suspects.MAX_REPORTED
+    watchlist.expire(crashes.CRASH_SECONDS + 1.0)
+    assert watchlist.is_empty
