A refusal is believed only as the answer to the request that was sent

Callers could be told "not run" for a request that an upstream was running: a faulty upstream wrote the refusal of an earlier request once more on a kept connection, and the entry VM took the header alone for it, whatever the id. Reproduced with a scripted upstream: the test got no-room, executed=no, where only "unknown" is true; an unsafe request would have been sent on to a second upstream.

Cause: is_not_run went before matches_request. Class: a reply that is believed before it is known to be ours. Now a refusal, as any reply, must repeat the request's id (none, where none was sent: a 400 without an id). A status that callers take for a promise (408, 421, 429, 503) without the header that says so is no answer of this request.

The daemon: its upstreams echo no id. It closes the connection after each refusal, so a copy finds no later request; a test says so (it passed before). What remains: a copy that an upstream writes on another connection than the one of the refusal can't be told from an answer there.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -340,7 +340,7 @@
         try:
             head = self.protocol.read_head(active_call.call, response)
             body = await self.reply_buffers.read(response)
-            is_complete = head.matches_request or head.is_not_run
+            is_complete = head.matches_request and not head.is_replaced
         finally:
             # A connection that may still carry response data must not be
             # reused: the data would be read as the next response.
