--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 
 class ScriptedUpstream:
@@ -42,6 +44,10 @@
             if self.is_reset:
                 # Lets the bytes arrive before the reset discards them.
                 await asyncio.sleep(0.05)
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
                 writer.transport.abort()
         writer.close()
 
