A stopping VM takes no request that it may have to cut

Requests that came late in the grace of a planned stop were passed on and cut at its end. Reproduced with a grace of 2 s and a route's timeout of 2 s: 10 requests, not to be repeated, reached the upstream and 8 were answered. With a grace of 6 s it does not occur on either site: requests are taken for 2.2 s, and 3.1 s are left, more than the longest timeout of their routes.

Cause: how long requests are taken was fixed, whatever they may take. Class: work is accepted without regard to the time that is left. Now a stopping VM refuses at once, with 503 and before it takes a token, each request whose time is not over before its stop; other VMs can serve it. The daemon the same: with look-ups cached for up to 60 s it took requests until the very end of its stop.

test_a_request_that_a_stopping_vm_passes_on_is_answered failed before (8 of 10), the daemon's test as well.

--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -249,6 +249,7 @@
         local_vm = self.vm
         local_vm.lifecycle.fire("leave")
         deadline = local_vm.now() + STOP_TIMEOUT_SECONDS
+        local_vm.stop_deadline = deadline
         self.log.emit("stopping", in_flight=local_vm.in_flight)
         await self.gossiper.broadcast_state()
         await self._wait_for_lookup_expiry(deadline)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -38,6 +38,8 @@
 # Part of a rate's tolerated overdraft that entry VMs may use while no lender
 # answers.
 OUTAGE_OVERDRAFT_RATIO = 0.2
+# Retry-After of a VM that is about to stop; other VMs can serve at once.
+STOPPING_RETRY_SECONDS = 0.05
 
 
 class Settings:
@@ -120,6 +122,8 @@
         shares: Leased shares of the workspaces' rates.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
+        stop_deadline: Time in seconds at which this VM stops; infinite unless
+            it is leaving.
         in_flight: Number of calls being served.
         metrics: Counters and latencies of this VM.
     """
@@ -159,6 +163,7 @@
             crashwatch.CrashWatch(log, self.now, self._record_crash),
         )
         self.is_leaving = False
+        self.stop_deadline = float("inf")
         self.in_flight = 0
         self._avoided_until: dict[str, float] = {}
         self._tasks = tasks.Group(log)
@@ -171,9 +176,15 @@
         self._tasks.spawn(self._watch())
         self._tasks.spawn(self.shares.run())
 
-    async def leave(self) -> None:
-        """Reports to the leader that callers should use other entry VMs."""
+    async def leave(self, stop_deadline: float) -> None:
+        """Reports to the leader that callers should use other entry VMs.
+
+        Args:
+            stop_deadline: Time in seconds by which all calls must have ended.
+                Calls that may take longer are refused from now on.
+        """
         self.is_leaving = True
+        self.stop_deadline = stop_deadline
         self.shares.wake.set()
 
     async def stop(self) -> None:
@@ -429,6 +440,12 @@
             workspace_regions = frozenset(workspace.allowed_regions)
             regions = _common_regions(regions, workspace_regions)
         deadline = min(call.deadline, call.arrived_at + route.timeout_seconds)
+        if deadline > self.stop_deadline:
+            raise errors.refuse(
+                errors.Kind.STOPPING,
+                "this VM stops before the request's time is over",
+                retry_after=STOPPING_RETRY_SECONDS,
+            )
         service = named_route.next_service()
         pool = self.pools.get(service)
         if pool is None:
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -236,6 +236,11 @@
                 errors.Kind.NO_ROUTE, "no route matches this host and path"
             )
         deadline = now + self._effective_timeout_ms(request, route) / 1000
+        if deadline > self.vm.stop_deadline:
+            raise errors.refuse(
+                errors.Kind.STOPPING,
+                "this VM stops before the request's time is over",
+            )
         queue_deadline = min(deadline, now + route.service.queue_ms / 1000)
         exchange = forwarder.Exchange(
             request, target, route, deadline, queue_deadline
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -67,6 +67,8 @@
             each change of the settings.
         settings_fetched: Event that is set once the VM has settings.
         in_flight: Number of requests in progress.
+        stop_deadline: Time in seconds at which requests in progress are
+            aborted; infinite unless the VM is leaving.
         lease_wake: Event that is set to renew leases at once.
     """
 
@@ -113,6 +115,7 @@
         self.settings_changed = asyncio.Event()
         self.settings_fetched = asyncio.Event()
         self.in_flight = 0
+        self.stop_deadline = float("inf")
         self.lease_wake = asyncio.Event()
         self._compiled_index = -1
         self._fresh_until = 0.0
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -68,7 +68,7 @@
             "data_dir": str(self.folder / "data"),
             "bounds.strict_revoke": "true",
             "bounds.revoke_s": "5",
-            "bounds.grace_s": "6",
+            "bounds.grace_s": str(self.cluster.grace_seconds),
             "bounds.retry_slack": "60",
             "bounds.quota_slack": "20",
         }
@@ -238,6 +238,7 @@
             timeout=aiohttp.ClientTimeout(total=10.0)
         )
         self.request_count = 0
+        self.grace_seconds = 6
 
     async def start(self, control_count=3, entry_count=1):
         zones = list(ZONES)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -384,3 +384,19 @@
             url, json={**body, "state": state}, headers=headers
         ) as response:
             assert response.status == status
+
+
+async def test_a_request_that_may_outlast_a_stopping_vm_is_refused_at_once(
+    bench,
+):
+    """Guards against requests that are taken late in a stop and then cut."""
+    stand_in = await bench.add_upstream()
+    local_vm = bench.daemon.vm
+    local_vm.stop_deadline = local_vm.now() + 1.0
+    async with bench.request() as response:
+        assert response.status == 503
+        assert await problem(response) == ("stopping", "no")
+    assert stand_in.total == 0
+    headers = {"Request-Timeout-Ms": "500"}
+    async with bench.request(headers=headers) as response:
+        assert response.status == 200
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -219,6 +219,38 @@
     connection.writer.close()
 
 
+@pytest.mark.parametrize("grace_seconds", [2, 6])
+async def test_a_request_that_a_stopping_vm_passes_on_is_answered(
+    cluster, grace_seconds
+):
+    """Guards against requests that are taken late in the grace and then cut.
+
+    They come on new connections until the VM is gone. With a short grace there
+    is less time left than they may take.
+    """
+    cluster.grace_seconds = grace_seconds
+    entry = cluster.entry_vms[0]
+    await entry.kill()
+    await entry.start()
+    server = await cluster.add_server("i-1")
+    await wait_until_served(cluster)
+    server.delay_seconds = 0.6
+    count = len(server.received_requests)
+    async with cluster.sending_heartbeats():
+        requests = []
+        entry.process.send_signal(signal.SIGTERM)
+        while entry.process.returncode is None:
+            request = cluster.request("/b/x", method="POST", data=b"x")
+            requests.append(asyncio.create_task(request))
+            await asyncio.sleep(0.05)
+        outcomes = await asyncio.gather(*requests, return_exceptions=True)
+    statuses = [o[0] for o in outcomes if isinstance(o, tuple)]
+    passed_on = len(server.received_requests) - count
+    assert statuses.count(200) == passed_on
+    assert set(statuses) <= {200, 503}
+    assert entry.process.returncode == 0
+
+
 async def test_metrics_count_answers_refusals_and_calls(cluster):
     await cluster.add_server("i-1")
     await wait_until_served(cluster)
