--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -24,6 +24,7 @@
 from pollenseam import steering
 from pollenseam import tasks
 from pollenseam import vm
+from pollenseam import workestimates
 
 WATCH_WAIT_MS = 1000
 CALL_TIMEOUT_SECONDS = 0.6
@@ -144,7 +145,7 @@
         self.directory = controlmessages.Directory()
         self.table = routing.Table()
         self.pools: dict[str, steering.Pool] = {}
-        self.work_estimates = steering.WorkEstimates()
+        self.work_estimates = workestimates.WorkEstimates()
         self.freshness = freshness.Freshness()
         self.exchange = observations.Exchange()
         self.shares = shares.LeaseClient(
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -9,16 +9,16 @@
 has it in its cache.
 """
 
-import collections
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from pollenseam import hashing
 from pollenseam import pacing
+from pollenseam import rankings
 from pollenseam import registry
 from pollenseam import statedlimits
 from pollenseam import upstreamstats
+from pollenseam import workestimates
 
 # Processing time on an upstream that is warm for the object, relative to the
 # processing time on one that is not.
@@ -26,8 +26,6 @@
 # Penalty for an upstream that is not warm for the object: loading the object
 # into its cache delays other requests that wait there.
 CACHE_MISS_COST_SECONDS = 0.8
-DEFAULT_WORK_SECONDS = 0.5
-WORK_EWMA_WEIGHT = 0.1
 FAILURE_COST_SECONDS = 2.0
 REGION_COST_SECONDS = 0.1
 DOMAIN_COST_SECONDS = 0.002
@@ -61,13 +59,9 @@
 # rest.
 FULL_LOAD_RATIO = 3.5
 FULL_COST_SECONDS = 2.0
-MAX_CACHED_RANKINGS = 4096
 # Upstreams that are evaluated for a request in its preferred region, and again
 # in the other regions. More are evaluated only if none of these has room.
 CANDIDATE_COUNT = 12
-HOME_HASH = hashing.hash64("home")
-# Requests that concern no object are spread over this many rankings.
-RANKINGS_WITHOUT_OBJECT = 64
 
 
 class Choice:
@@ -114,24 +108,6 @@
         return self.wait_seconds + self.work_seconds
 
 
-class _Ranking:
-    """The upstreams of a service, ranked for one object.
-
-    Attributes:
-        preferred: Pairs of rank and upstream, for the upstreams in the region
-            of the first-ranked one (the preferred region of the object).
-        others: Pairs of rank and upstream, for all other upstreams.
-    """
-
-    __slots__ = ("preferred", "others")
-
-    def __init__(self, ranked: list[upstreamstats.UpstreamStats]) -> None:
-        preferred_region = ranked[0].region if ranked else ""
-        pairs = list(enumerate(ranked))
-        self.preferred = [p for p in pairs if p[1].region == preferred_region]
-        self.others = [p for p in pairs if p[1].region != preferred_region]
-
-
 class _Candidate:
     """A possible choice with a key to sort by.
 
@@ -145,30 +121,6 @@
         self.sort_key = (choice.excess_wait_seconds > 0, cost)
 
 
-class WorkEstimates:
-    """Smoothed processing times by route, for objects that are not cached.
-
-    Attributes:
-        seconds_by_route: Exponentially weighted moving average by route name.
-    """
-
-    __slots__ = ("seconds_by_route",)
-
-    def __init__(self) -> None:
-        self.seconds_by_route: dict[str, float] = {}
-
-    def estimate(self, route: str) -> float:
-        """Returns the expected processing time in seconds on a cache miss."""
-        return self.seconds_by_route.get(route, DEFAULT_WORK_SECONDS)
-
-    def record(self, route: str, seconds: float) -> None:
-        """Updates the average of a route with a processing time in seconds."""
-        work = self.seconds_by_route.setdefault(route, seconds)
-        self.seconds_by_route[route] = (
-            work + (seconds - work) * WORK_EWMA_WEIGHT
-        )
-
-
 class Requirements:
     """What a request requires of the upstream that will serve it.
 
@@ -219,14 +171,12 @@
         upstreams: Upstreams by id.
         region: Region of this VM.
         failure_domain: Failure domain of this VM.
-        home_ratio: Fraction (0 to 1) of the objects requested in this VM's
-            region that the region's own upstreams have capacity for, assuming
-            that every failure domain sends the same amount of requests.
         cold_rate: Requests per second that a cold upstream accepts from all
             VMs together; 0 if there is no limit.
         fleet: Entry VMs that share the rates of upstreams.
         stated_limits: Rates that upstreams state.
         work_estimates: Expected processing time by route.
+        rankings: Rankings of the upstreams, by object.
         recent_choices: Choices of the last OVERFLOW_WINDOW_SECONDS by time;
             True if the request left its preferred region.
     """
@@ -235,14 +185,12 @@
         "upstreams",
         "region",
         "failure_domain",
-        "home_ratio",
         "cold_rate",
         "fleet",
         "stated_limits",
         "work_estimates",
+        "rankings",
         "recent_choices",
-        "_rankings",
-        "_next_ranking",
     )
 
     def __init__(
@@ -250,7 +198,7 @@
         name: str,
         region: str,
         failure_domain: str,
-        work_estimates: WorkEstimates,
+        work_estimates: workestimates.WorkEstimates,
         stated_limits: statedlimits.Table | None = None,
     ) -> None:
         self.upstreams: dict[str, upstreamstats.UpstreamStats] = {}
@@ -258,12 +206,10 @@
         self.stated_limits = stated_limits or statedlimits.Table()
         self.region = region
         self.failure_domain = failure_domain
-        self.home_ratio = 1.0
         self.cold_rate = 0.0
         self.work_estimates = work_estimates
         self.recent_choices: dict[float, bool] = {}
-        self._rankings: dict[str, _Ranking] = {}
-        self._next_ranking = 0
+        self.rankings = rankings.Rankings(region)
 
     def update(
         self,
@@ -293,11 +239,11 @@
                     stats.cold_until = now + record.cold_ms / 1000
             stats.record = record
             self.upstreams[record.id] = stats
-        room_ratios = self._compute_room_ratios(regions)
-        self.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
+        room_ratios = rankings.room_ratios(self.upstreams.values(), regions)
+        self.rankings.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
         self._set_fleet(self.fleet.regions, room_ratios)
         if [*previous.values()] != [*self.upstreams.values()]:
-            self._rankings.clear()
+            self.rankings.clear()
 
     def set_cold_limit(self, rate: float, vms: dict[str, str]) -> None:
         """Sets the rate that cold upstreams accept and the VMs of the fleet.
@@ -364,25 +310,6 @@
         ]
         return min((wait for wait in waits if wait is not None), default=None)
 
-    def _compute_room_ratios(
-        self, regions: Mapping[str, str]
-    ) -> dict[str, float]:
-        """Returns each region's share of the slots by its share of the demand.
-
-        Every failure domain is assumed to send the same amount of requests.
-        """
-        domains = collections.Counter(regions.values())
-        slots: collections.Counter[str] = collections.Counter()
-        for upstream in self.upstreams.values():
-            slots[upstream.region] += upstream.record.slots
-        total = slots.total()
-        if not total:
-            return {}
-        return {
-            region: slots[region] / total * domains.total() / count
-            for region, count in domains.items()
-        }
-
     def choose(self, requirements: Requirements, now: float) -> Choice | None:
         """Returns the best upstream for a request, or None if there is none.
 
@@ -390,7 +317,9 @@
         plus penalties. Upstreams without excess wait come first, so that no
         request is refused while an upstream that is not warm has room.
         """
-        ranking = self._ranking(requirements.object)
+        ranking = self.rankings.find(
+            requirements.object, self.upstreams.values()
+        )
         preferred = self._best_candidate(ranking.preferred, requirements, now)
         other = self._best_candidate(ranking.others, requirements, now)
         return self._choose_region(preferred, other, now)
@@ -574,36 +503,3 @@
         if upstream.risky_in_flight:
             cost += RISK_COST_SECONDS
         return cost
-
-    def _ranking(self, object: str | None) -> _Ranking:
-        """Returns the ranking for an object, cached while it is valid.
-
-        Requests without an object take the rankings of RANKINGS_WITHOUT_OBJECT
-        made-up objects in turn.
-        """
-        if object is None:
-            self._next_ranking += 1
-            object = f"#{self._next_ranking % RANKINGS_WITHOUT_OBJECT}"
-        ranking = self._rankings.get(object)
-        if ranking is None:
-            ranking = _Ranking(self._rank_upstreams(object))
-            if len(self._rankings) > MAX_CACHED_RANKINGS:
-                self._rankings.clear()
-            self._rankings[object] = ranking
-        return ranking
-
-    def _rank_upstreams(self, object: str) -> list[upstreamstats.UpstreamStats]:
-        object_hash = hashing.hash64(object)
-        position = hashing.mix(object_hash, HOME_HASH) / hashing.MASK_64
-        is_home = position < self.home_ratio
-        scored = [
-            (
-                (upstream.region == self.region) == is_home,
-                hashing.mix(object_hash, upstream.name_hash),
-                upstream.record.id,
-                upstream,
-            )
-            for upstream in self.upstreams.values()
-        ]
-        scored.sort(key=lambda s: s[:3], reverse=True)
-        return [s[3] for s in scored]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -6,6 +6,7 @@
 from pollenseam import pacing
 from pollenseam import registry
 from pollenseam import steering
+from pollenseam import workestimates
 
 REGIONS = {"a1": "a", "b1": "b", "c1": "c"}
 
@@ -26,7 +27,8 @@
 
 
 def pool_of(counts, region="a", name="v0"):
-    pool = steering.Pool(name, region, f"{region}1", steering.WorkEstimates())
+    estimates = workestimates.WorkEstimates()
+    pool = steering.Pool(name, region, f"{region}1", estimates)
     records = [
         record(f"{domain}-{n}", domain)
         for domain, count in counts.items()
@@ -191,11 +193,11 @@
     pool = pool_of({"a1": 4})
     choose(pool)
     records = [u.record for u in pool.upstreams.values()]
-    ranking = pool._ranking("r1/7")
+    ranking = pool.rankings.find("r1/7", pool.upstreams.values())
     pool.update(records, REGIONS, 1.0)
-    assert pool._ranking("r1/7") is ranking
+    assert pool.rankings.find("r1/7", pool.upstreams.values()) is ranking
     pool.update(records[1:], REGIONS, 1.0)
-    assert pool._ranking("r1/7") is not ranking
+    assert pool.rankings.find("r1/7", pool.upstreams.values()) is not ranking
 
 
 def test_an_upstream_that_reports_a_queue_is_avoided():
