Records of limits and crashes: work by what changed, not by what is kept

Records are kept in the order of their changes; only requests with new crashes are looked at for a conviction; VMs are compared within their own region only, by a cheaper key. A report that changes nothing adds no record (a test says so). An entry VM forgets what the leader said of a suspect after the time in which the leader forgets it.

--- a/src/pollenseam/crashes.py
+++ b/src/pollenseam/crashes.py
@@ -107,20 +107,30 @@
         """Returns whether the request must not be sent now."""
         return now < self.convicted_until
 
+    def to_message(self, fingerprint: bytes, now: float) -> Suspicion:
+        """Returns what other VMs are told."""
+        convicted_ms = 0
+        if self.is_convicted(now):
+            convicted_ms = int((self.convicted_until - now) * 1000)
+        return Suspicion(fingerprint, self.count(), convicted_ms)
+
 
 class Docket:
     """The leader's record of all suspects.
 
     Attributes:
-        suspects: Suspects by fingerprint, those suspected first first.
-        explained: Crashes of convicted requests, by start of the upstream.
+        suspects: Suspects by fingerprint, the latest change last.
+        candidates: Fingerprints of suspects with new crashes.
+        explained: Time of the conviction that explains a crash, by start of
+            the upstream, the latest last.
         revision: Number of changes.
     """
 
-    __slots__ = ("suspects", "explained", "revision")
+    __slots__ = ("suspects", "candidates", "explained", "revision")
 
     def __init__(self) -> None:
         self.suspects: dict[bytes, Suspect] = {}
+        self.candidates: set[bytes] = set()
         self.explained: dict[Start, float] = {}
         self.revision = 0
 
@@ -130,20 +140,25 @@
         suspect.ended_well_at = now
         suspect.convicted_until = NEVER
         suspect.crashes.clear()
-        self._touch(suspect, now)
+        self._touch(fingerprint, suspect, now)
 
     def record_crash(self, report: CrashReport, now: float) -> None:
         """Records that a run of a request ended with its upstream."""
         at = now - report.age_ms / 1000
-        suspect = self._suspect(report.fingerprint)
-        if at <= suspect.ended_well_at or report.start in suspect.crashes:
+        suspect = self.suspects.get(report.fingerprint)
+        if suspect is not None:
+            if at <= suspect.ended_well_at or report.start in suspect.crashes:
+                return
+            if suspect.is_convicted(now):
+                suspect.crashes[report.start] = at
+                self._explain([report.start], now)
+                return
+        if report.start in self.explained:
             return
-        if suspect.is_convicted(now):
-            suspect.crashes[report.start] = at
-            self._explain([report.start], now)
-        elif report.start not in self.explained:
-            suspect.crashes[report.start] = at
-            self._touch(suspect, now)
+        suspect = self._suspect(report.fingerprint)
+        suspect.crashes[report.start] = at
+        self.candidates.add(report.fingerprint)
+        self._touch(report.fingerprint, suspect, now)
 
     def convict(self, now: float) -> list[bytes]:
         """Convicts the requests that crashed enough upstreams.
@@ -155,15 +170,16 @@
             Fingerprints of the requests that are convicted now.
         """
         convicted: list[bytes] = []
-        while self.count_convicted(now) < MAX_CONVICTED:
+        while self.candidates and self.count_convicted(now) < MAX_CONVICTED:
             fingerprint = self._worst_suspect(now)
             if fingerprint is None:
                 break
             suspect = self.suspects[fingerprint]
             suspect.convicted_until = now + CONVICTION_SECONDS
-            self._touch(suspect, now)
+            self._touch(fingerprint, suspect, now)
             self._explain(suspect.crashes, now)
             convicted.append(fingerprint)
+        self.candidates.clear()
         return convicted
 
     def restore(self, suspicion: Suspicion, now: float) -> None:
@@ -172,35 +188,30 @@
         if suspect.is_convicted(now) or suspect.ended_well_at > NEVER:
             return
         suspect.convicted_until = now + suspicion.convicted_ms / 1000
-        self._touch(suspect, now)
+        self._touch(suspicion.fingerprint, suspect, now)
 
     def changes_since(self, revision: int, now: float) -> list[Suspicion]:
         """Returns what is known of the suspects that changed since then."""
-        return [
-            Suspicion(
-                fingerprint,
-                suspect.count(),
-                max(0, int((suspect.convicted_until - now) * 1000))
-                if suspect.is_convicted(now)
-                else 0,
-            )
-            for fingerprint, suspect in self.suspects.items()
-            if suspect.revision > revision
-        ]
+        changed: list[Suspicion] = []
+        for fingerprint, suspect in reversed(self.suspects.items()):
+            if suspect.revision <= revision:
+                break
+            changed.append(suspect.to_message(fingerprint, now))
+        return changed
 
     def expire(self, now: float) -> None:
         """Drops suspects of which nothing has been heard for long."""
-        self.suspects = {
-            fingerprint: suspect
-            for fingerprint, suspect in self.suspects.items()
-            if suspect.is_convicted(now)
-            or now - suspect.changed_at < CRASH_SECONDS
-        }
-        self.explained = {
-            start: at
-            for start, at in self.explained.items()
-            if now - at < CRASH_SECONDS
-        }
+        oldest = now - CRASH_SECONDS
+        old: list[bytes] = []
+        for fingerprint, suspect in self.suspects.items():
+            if suspect.changed_at > oldest:
+                break
+            if not suspect.is_convicted(now):
+                old.append(fingerprint)
+        for fingerprint in old:
+            del self.suspects[fingerprint]
+        while self.explained and next(iter(self.explained.values())) <= oldest:
+            del self.explained[next(iter(self.explained))]
 
     def count_convicted(self, now: float) -> int:
         """Returns the number of convicted requests."""
@@ -223,7 +234,8 @@
     def _worst_suspect(self, now: float) -> bytes | None:
         worst: bytes | None = None
         most = 0
-        for fingerprint, suspect in self.suspects.items():
+        for fingerprint in self.candidates & self.suspects.keys():
+            suspect = self.suspects[fingerprint]
             if suspect.is_convicted(now) or len(suspect.crashes) <= most:
                 continue
             if suspect.count() >= MIN_CRASHES:
@@ -233,18 +245,24 @@
 
     def _explain(self, starts: Iterable[Start], now: float) -> None:
         """Clears all other suspects of crashes that are explained."""
-        explained = dict.fromkeys(starts, now)
-        self.explained |= explained
-        for suspect in self.suspects.values():
+        starts = set(starts)
+        for start in starts:
+            self.explained.pop(start, None)
+            self.explained[start] = now
+        cleared: list[bytes] = []
+        for fingerprint, suspect in self.suspects.items():
             if suspect.is_convicted(now):
                 continue
-            shared = explained.keys() & suspect.crashes.keys()
+            shared = starts & suspect.crashes.keys()
             for start in shared:
                 del suspect.crashes[start]
             if shared:
-                self._touch(suspect, now)
+                cleared.append(fingerprint)
+        for fingerprint in cleared:
+            self._touch(fingerprint, self.suspects[fingerprint], now)
 
-    def _touch(self, suspect: Suspect, now: float) -> None:
+    def _touch(self, fingerprint: bytes, suspect: Suspect, now: float) -> None:
         self.revision += 1
         suspect.revision = self.revision
         suspect.changed_at = now
+        self.suspects[fingerprint] = self.suspects.pop(fingerprint)
--- a/src/pollenseam/pacing.py
+++ b/src/pollenseam/pacing.py
@@ -20,6 +20,8 @@
 # Rate that senders assume if less is accepted, from all VMs together. Without
 # responses, they would not learn that more is accepted again.
 MIN_RATE = 0.3
+# Odd, so that no two VMs get the same key.
+ORDER_FACTOR = 0x9E3779B97F4A7C15
 SPARE_HASH = hashing.hash64("spare")
 
 
@@ -101,10 +103,12 @@
         regions: Region of each entry VM, by name.
         room_ratios: Share of the slots divided by share of the demand, of each
             region. Regions below 1 depend on upstreams of other regions.
-        hashes: Hash of each VM's name.
+        own_hash: Hash of this VM's name; None if it is not among the VMs, as
+            the directory does not have it yet.
+        hashes: Hashes of the VMs' names, by region.
     """
 
-    __slots__ = ("name", "regions", "room_ratios", "hashes")
+    __slots__ = ("name", "regions", "room_ratios", "own_hash", "hashes")
 
     def __init__(
         self,
@@ -115,7 +119,10 @@
         self.name = name
         self.regions = regions
         self.room_ratios = room_ratios
-        self.hashes = {vm: hashing.hash64(vm) for vm in regions}
+        self.own_hash = hashing.hash64(name) if name in regions else None
+        self.hashes: dict[str, list[int]] = {}
+        for vm, region in regions.items():
+            self.hashes.setdefault(region, []).append(hashing.hash64(vm))
 
     def own_rank(self, region: str, upstream_hash: int) -> int:
         """Returns the position of this VM in the order for an upstream.
@@ -128,25 +135,25 @@
             region: Region of the upstream.
             upstream_hash: Hash of the upstream's id.
         """
+        if self.own_hash is None:
+            return len(self.regions)
         position = hashing.mix(upstream_hash, SPARE_HASH) / hashing.MASK_64
         is_spare = position * self.room_ratios.get(region, 1.0) > 1.0
-        keys = {
-            vm: (self._distance(vm, region, is_spare), mixed)
-            for vm, mixed in self._mixed_hashes(upstream_hash).items()
-        }
-        if self.name not in keys:
-            # A VM that is not in the directory yet comes last.
-            return len(keys)
-        return sum(key < keys[self.name] for key in keys.values())
-
-    def _mixed_hashes(self, upstream_hash: int) -> dict[str, int]:
-        return {
-            vm: hashing.mix(hash64, upstream_hash)
-            for vm, hash64 in self.hashes.items()
-        }
-
-    def _distance(self, vm: str, region: str, is_spare: bool) -> int:
-        vm_region = self.regions[vm]
+        own_distance = self._distance(self.regions[self.name], region, is_spare)
+        own_order = _order(self.own_hash, upstream_hash)
+        rank = 0
+        for vm_region, hashes in self.hashes.items():
+            distance = self._distance(vm_region, region, is_spare)
+            if distance < own_distance:
+                rank += len(hashes)
+            elif distance == own_distance:
+                rank += sum(
+                    _order(vm_hash, upstream_hash) < own_order
+                    for vm_hash in hashes
+                )
+        return rank
+
+    def _distance(self, vm_region: str, region: str, is_spare: bool) -> int:
         if is_spare and self.room_ratios.get(vm_region, 1.0) < 1.0:
             return 0
         return 1 if vm_region == region else 2
@@ -168,3 +175,8 @@
         turn = rank - senders
         probe_after = PROBE_AFTER_SECONDS + turn * PROBE_STEP_SECONDS
         return MIN_RATE / senders if silent_seconds > probe_after else 0.0
+
+
+def _order(vm_hash: int, upstream_hash: int) -> int:
+    """Returns the key by which equally distant VMs are ordered."""
+    return (vm_hash ^ upstream_hash) * ORDER_FACTOR & hashing.MASK_64
--- a/src/pollenseam/statedlimits.py
+++ b/src/pollenseam/statedlimits.py
@@ -80,7 +80,7 @@
     at which they were read: the latest counts.
 
     Attributes:
-        records: Records by upstream id.
+        records: Records by upstream id, the latest change last.
         revision: Number of changes.
     """
 
@@ -118,6 +118,7 @@
         old.read_at = read_at
         self.revision += 1
         old.revision = self.revision
+        self.records[upstream] = self.records.pop(upstream)
         return has_changed
 
     def adopt(self, statements: Iterable[StatedLimit], now: float) -> None:
@@ -161,11 +162,12 @@
 
     def changes_since(self, revision: int, now: float) -> list[StatedLimit]:
         """Returns the statements that were recorded after a revision."""
-        return [
-            _to_message(upstream, record, now)
-            for upstream, record in self.records.items()
-            if record.revision > revision
-        ]
+        changed: list[StatedLimit] = []
+        for upstream, record in reversed(self.records.items()):
+            if record.revision <= revision:
+                break
+            changed.append(_to_message(upstream, record, now))
+        return changed
 
     def retain(self, upstreams: Container[str]) -> None:
         """Drops the records of all other upstreams."""
--- a/src/pollenseam/suspects.py
+++ b/src/pollenseam/suspects.py
@@ -37,13 +37,17 @@
     Attributes:
         crashes: Crashes that no other request explains.
         convicted_until: Time in seconds until which it must not be sent.
+        heard_at: Time in seconds at which the leader said so.
     """
 
-    __slots__ = ("crashes", "convicted_until")
+    __slots__ = ("crashes", "convicted_until", "heard_at")
 
-    def __init__(self, crashes: int, convicted_until: float) -> None:
+    def __init__(
+        self, crashes: int, convicted_until: float, heard_at: float
+    ) -> None:
         self.crashes = crashes
         self.convicted_until = convicted_until
+        self.heard_at = heard_at
 
 
 class Watchlist:
@@ -158,7 +162,7 @@
                 self._clear(fingerprint)
                 continue
             until = now + suspicion.convicted_ms / 1000
-            self.known[fingerprint] = Known(suspicion.crashes, until)
+            self.known[fingerprint] = Known(suspicion.crashes, until, now)
 
     def _clear(self, fingerprint: bytes) -> None:
         """Clears a request of the crashes that the leader knows of."""
@@ -173,8 +177,9 @@
         for key, own in list(self.own_runs.items()):
             if own.run.broken_at < oldest:
                 self._drop_own(key)
-        while len(self.known) > crashes.MAX_SUSPECTS:
-            del self.known[next(iter(self.known))]
+        for fingerprint, known in list(self.known.items()):
+            if max(known.heard_at - oldest, known.convicted_until - now) <= 0:
+                del self.known[fingerprint]
 
     def _drop_own(self, key: tuple[bytes, str, int]) -> None:
         del self.own_runs[key]
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -70,6 +70,18 @@
     assert docket.suspects[b"p"].count() == 0
 
 
+def test_changes_are_told_also_after_a_report_that_changes_nothing():
+    docket = crashes.Docket()
+    for number in range(3):
+        report(docket, DEADLY, f"i{number}", float(number))
+    docket.convict(2.0)
+    revision = docket.revision
+    report(docket, b"p", "i8", 3.0)
+    report(docket, b"q", "i2", 3.0)
+    changed = docket.changes_since(revision, 3.0)
+    assert [s.fingerprint for s in changed] == [b"p"]
+
+
 def test_upstreams_that_end_together_count_as_one_crash():
     """Guards against refusals after the loss of a rack.
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -92,6 +92,21 @@
     assert all(e.watchlist.is_empty for e in fleet.exchanges)
 
 
+def test_what_the_leader_said_is_forgotten_once_it_is_old():
+    """Guards against suspicion for good, as the leader tells no ends of it."""
+    fleet = Fleet(4)
+    convict(fleet)
+    crash(fleet.exchanges[0].watchlist, b"p", "i7", 3.0)
+    fleet.renew(3.0)
+    fleet.renew(3.5)
+    watchlist = fleet.exchanges[3].watchlist
+    assert watchlist.known.keys() == {b"d", b"p"}
+    watchlist.expire(4.0 + crashes.CRASH_SECONDS)
+    assert watchlist.known.keys() == {b"d"}
+    watchlist.expire(4.0 + crashes.CONVICTION_SECONDS)
+    assert watchlist.is_empty
+
+
 def test_a_good_end_before_the_report_makes_the_report_needless():
     watchlist = suspects.Watchlist()
     crash(watchlist, b"p", "i1")
