Daemon: a request that crashed upstreams is sent no more, by any VM

The same fault as in the entry VM, looked for and found: the forwarder knew the attempts of one request and nothing after. It reports crashed runs with its renewals of shares; the leader convicts; convictions come back with the answers (the modules of the entry VM). A request is sent at most once more after its connection broke, and a suspect not at all.

CrashWatch takes the start of an upstream rather than a record of the registry, so that both programs can use it.

Entry VMs log what they are told (observations-received), which changes what they believe.

--- a/src/pollenseam/crashwatch.py
+++ b/src/pollenseam/crashwatch.py
@@ -45,21 +45,43 @@
         self.broken_at = broken_at
 
 
+class UpstreamStart:
+    """One start of an upstream.
+
+    Attributes:
+        id: Id of the upstream.
+        started_ms: Start in Unix milliseconds, or another number that is higher
+            for each later start.
+        service: Name of the service.
+        address: IP:PORT.
+    """
+
+    __slots__ = ("id", "started_ms", "service", "address")
+
+    def __init__(
+        self, id: str, started_ms: int, service: str, address: str
+    ) -> None:
+        self.id = id
+        self.started_ms = started_ms
+        self.service = service
+        self.address = address
+
+
 class Watched:
     """One start of an upstream of which connections broke.
 
     Attributes:
-        record: Record of the upstream at that time.
+        upstream: The start of the upstream.
         runs: Requests that it had and that are not reported yet.
         broken_at: Time in seconds of the latest break.
         has_ended: Whether the upstream is known to have ended.
         is_probed: Whether a connection is being opened to find out.
     """
 
-    __slots__ = ("record", "runs", "broken_at", "has_ended", "is_probed")
+    __slots__ = ("upstream", "runs", "broken_at", "has_ended", "is_probed")
 
-    def __init__(self, record: registry.Upstream, broken_at: float) -> None:
-        self.record = record
+    def __init__(self, upstream: UpstreamStart, broken_at: float) -> None:
+        self.upstream = upstream
         self.broken_at = broken_at
         self.runs: list[CrashedRun] = []
         self.has_ended = False
@@ -92,19 +114,18 @@
         """Ends all open probes."""
         self._tasks.cancel()
 
-    def record_break(
-        self, fingerprint: bytes, record: registry.Upstream
-    ) -> None:
+    def record_break(self, fingerprint: bytes, upstream: UpstreamStart) -> None:
         """Records that a connection broke while an upstream had a request."""
         now = self.now()
         self._drop_old(now)
-        watched = self.watched.get(record.id)
-        if watched is None or watched.record.started_ms != record.started_ms:
-            watched = self.watched[record.id] = Watched(record, now)
+        watched = self.watched.get(upstream.id)
+        started_ms = upstream.started_ms
+        if watched is None or watched.upstream.started_ms != started_ms:
+            watched = self.watched[upstream.id] = Watched(upstream, now)
         watched.broken_at = now
         if len(watched.runs) < MAX_BROKEN_RUNS:
             watched.runs.append(
-                CrashedRun(fingerprint, record.id, record.started_ms, now)
+                CrashedRun(fingerprint, upstream.id, upstream.started_ms, now)
             )
         if watched.has_ended:
             self._report(watched)
@@ -118,13 +139,13 @@
             latest = records.get(id)
             if (
                 latest is not None
-                and latest.started_ms > watched.record.started_ms
+                and latest.started_ms > watched.upstream.started_ms
                 and not watched.has_ended
             ):
                 self._record_end(watched, "later-start")
 
     async def _probe(self, watched: Watched) -> None:
-        host, _, port = watched.record.address.rpartition(":")
+        host, _, port = watched.upstream.address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 _, writer = await asyncio.open_connection(host, int(port))
@@ -134,7 +155,7 @@
             # Neither accepted nor refused: a partition, or no power.
             self.log.emit_often(
                 "upstream-end-unknown",
-                upstream=watched.record.id,
+                upstream=watched.upstream.id,
                 why=repr(error),
             )
         else:
@@ -146,8 +167,8 @@
         watched.has_ended = True
         self.log.emit_often(
             "upstream-ended",
-            upstream=watched.record.id,
-            service=watched.record.service,
+            upstream=watched.upstream.id,
+            service=watched.upstream.service,
             evidence=evidence,
             runs=len(watched.runs),
         )
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -13,6 +13,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
+from pollenseam import registry
 from pollenseam import replybuffers
 from pollenseam import retries
 from pollenseam import sessions
@@ -276,12 +277,19 @@
             upstream.record_unreachable(self.now())
             if isinstance(error, BREAKS):
                 active_call.is_risky = True
-                self.crash_watch.record_break(
-                    active_call.fingerprint, upstream.record
-                )
+                self._record_break(active_call, upstream.record)
             self._record_broken(active_call, upstream, started, repr(error))
             return None
 
+    def _record_break(
+        self, active_call: calls.ActiveCall, record: registry.Upstream
+    ) -> None:
+        """Records that a connection broke while an upstream had the call."""
+        start = crashwatch.UpstreamStart(
+            record.id, record.started_ms, record.service, record.address
+        )
+        self.crash_watch.record_break(active_call.fingerprint, start)
+
     def _record_timeout(
         self, upstream: upstreamstats.UpstreamStats, has_head: bool
     ) -> None:
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -10,7 +10,9 @@
 
 from pollenseam import admission
 from pollenseam import catalog
+from pollenseam import crashwatch
 from pollenseam import errors
+from pollenseam import fingerprints
 from pollenseam import headers
 from pollenseam import lifecycles
 from pollenseam import sessions
@@ -22,6 +24,9 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
 MAX_ATTEMPTS = 3
+# A request is sent once more after the connection broke; it may be what crashes
+# the upstreams.
+MAX_BREAKS = 1
 TIMEOUT_FAILURE_RATIO = 0.8
 IDEMPOTENT_METHODS = frozenset(
     {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
@@ -53,6 +58,8 @@
         body_refusal: Why the streamed body was aborted, or None.
         claim: Digest that identifies the request's claim, or "".
         attempt: Id of the attempt that has the claim, or "".
+        breaks: Attempts in which the connection to the upstream broke.
+        is_suspect: Whether the request may have crashed upstreams before.
     """
 
     __slots__ = (
@@ -71,6 +78,8 @@
         "body_refusal",
         "claim",
         "attempt",
+        "breaks",
+        "is_suspect",
     )
 
     def __init__(
@@ -96,6 +105,8 @@
         self.body_refusal: errors.Refusal | None = None
         self.claim = ""
         self.attempt = ""
+        self.breaks = 0
+        self.is_suspect = False
 
     @property
     def may_resend(self) -> bool:
@@ -103,6 +114,19 @@
         idempotent = self.request.method in IDEMPOTENT_METHODS
         return idempotent and not self.is_at_most_once and self.body is not None
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Fingerprint of the request; b"" if its body is streamed."""
+        if self.body is None:
+            return b""
+        return fingerprints.fingerprint(
+            self.request.method,
+            self.request.headers["Host"],
+            self.target,
+            self.workspace,
+            self.body,
+        )
+
 
 class _ShedError(Exception):
     """The upstream shed the request: it declared that it did not run it."""
@@ -133,15 +157,20 @@
     Attributes:
         response: The response; its head has been received.
         reservation: Slot that the request occupies until `finish`.
+        exchange: The request.
     """
 
-    __slots__ = ("response", "reservation")
+    __slots__ = ("response", "reservation", "exchange")
 
     def __init__(
-        self, response: aiohttp.ClientResponse, reservation: Reservation
+        self,
+        response: aiohttp.ClientResponse,
+        reservation: Reservation,
+        exchange: Exchange,
     ) -> None:
         self.response = response
         self.reservation = reservation
+        self.exchange = exchange
 
 
 class Forwarder:
@@ -153,6 +182,7 @@
         retry_budgets: Retry budgets by service path.
         active_shifts: State of running shifts by path.
         session: HTTP client session for all upstreams.
+        crash_watch: Finds out which upstreams ended with requests of this VM.
     """
 
     def __init__(
@@ -163,9 +193,13 @@
         self.retry_budgets: dict[str, upstreams.RetryBudget] = {}
         self.active_shifts: dict[str, shifts.ActiveShift] = {}
         self.session = sessions.open_session()
+        self.crash_watch = crashwatch.CrashWatch(
+            local_vm.log, local_vm.now, self._record_crash
+        )
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
+        self.crash_watch.close()
         await self.session.close()
 
     async def send(self, exchange: Exchange) -> StreamingResponse:
@@ -175,8 +209,10 @@
 
         Raises:
             RefusedError: No upstream answered the request, or its streamed
-                body was too large or incomplete.
+                body was too large or incomplete; or the request is convicted
+                of crashing upstreams.
         """
+        self._check_crashes(exchange)
         service = exchange.route.service
         budget = self.retry_budgets.setdefault(
             service.path, upstreams.RetryBudget()
@@ -195,9 +231,47 @@
                     raise
                 self.vm.metrics.retries += 1
 
+    def _check_crashes(self, exchange: Exchange) -> None:
+        """Refuses a request that is convicted of crashing upstreams."""
+        watchlist = self.vm.exchange.watchlist
+        if watchlist.is_empty or not exchange.fingerprint:
+            return
+        now = self.vm.now()
+        until = watchlist.convicted_until(exchange.fingerprint, now)
+        if until is not None:
+            raise errors.refuse(
+                errors.Kind.CRASHES_UPSTREAMS,
+                "each upstream that ran the request crashed",
+                retry_after=until - now,
+            )
+        count = watchlist.crash_count(exchange.fingerprint)
+        exchange.is_suspect = count > 0
+
+    def _record_crash(self, run: crashwatch.CrashedRun) -> None:
+        self.vm.exchange.watchlist.record_crash(run)
+        self.vm.lease_wake.set()
+
+    def _record_break(
+        self, exchange: Exchange, upstream: upstreams.Upstream
+    ) -> None:
+        """Records that the connection broke after a request was sent."""
+        exchange.breaks += 1
+        record = upstream.record
+        is_leaving = record.state != lifecycles.UpstreamState.SERVING
+        if is_leaving or not exchange.fingerprint:
+            return
+        start = crashwatch.UpstreamStart(
+            record.name, record.incarnation, record.service, record.address
+        )
+        self.crash_watch.record_break(exchange.fingerprint, start)
+
     def _may_retry(
         self, exchange: Exchange, budget: upstreams.RetryBudget
     ) -> bool:
+        if exchange.breaks > MAX_BREAKS or (
+            exchange.breaks and exchange.is_suspect
+        ):
+            return False
         if exchange.is_sent and not exchange.may_resend:
             return False
         return len(exchange.tried) < MAX_ATTEMPTS and budget.try_spend()
@@ -303,7 +377,7 @@
             exchange.is_sent = was_sent
             self._record_shed(reservation)
             raise _ShedError
-        return StreamingResponse(response, reservation)
+        return StreamingResponse(response, reservation, exchange)
 
     def _record_shed(self, reservation: Reservation) -> None:
         self.vm.metrics.sheds += 1
@@ -337,6 +411,7 @@
                 raise errors.RefusedError(exchange.body_refusal) from error
             pool.record_failure(reservation.upstream, 0.0, self.vm.now())
             exchange.tried.add(name)
+            self._record_break(exchange, reservation.upstream)
             raise _upstream_failure(exchange, "broke the connection") from error
 
     def _trace_sent(self, exchange: Exchange, reservation: Reservation) -> None:
@@ -430,6 +505,9 @@
             response.release()
         else:
             response.close()
+        watchlist = self.vm.exchange.watchlist
+        if is_complete and not watchlist.is_empty:
+            watchlist.record_good_end(streaming.exchange.fingerprint)
         now = self.vm.now()
         pool = self.vm.pool(reservation.service)
         elapsed_seconds = now - reservation.started
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -304,11 +304,13 @@
     Attributes:
         holder: Name of the asking VM.
         demands: One demand for each resource.
+        observed: What the asking VM observed at upstreams.
     """
 
     holder: str
     demands: list[ResourceDemand]
     logical: int
+    observed: observations.Report = observations.Report()
 
 
 class Share(msgspec.Struct, array_like=True):
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -33,6 +33,7 @@
         self.vm = local_vm
         self.submitter = command_submitter
         self._attempt = 0
+        self._is_full_report_due = True
 
     async def run(self) -> None:
         """Renews leases until cancelled."""
@@ -63,11 +64,27 @@
         if answer is None or answer.ttl_ms <= 0:
             return False
         self._apply(answer, sent_at)
+        self._exchange_observations(request, answer)
         return True
 
     def _request(self, now: float) -> messages.LeaseRequest:
         demands = lending.to_demands(self.vm.lease_table.build_requests(now))
-        return messages.LeaseRequest(self.vm.lease_holder, demands, 0)
+        report = self.vm.exchange.build_report(self._is_full_report_due, now)
+        return messages.LeaseRequest(self.vm.lease_holder, demands, 0, report)
+
+    def _exchange_observations(
+        self, request: messages.LeaseRequest, answer: messages.LeaseResponse
+    ) -> None:
+        """Adopts what other VMs observed.
+
+        A leader of a new term gets all observations with the next request.
+        """
+        update = answer.observed
+        if update is None:
+            return
+        exchange = self.vm.exchange
+        self._is_full_report_due = update.revisions.term != exchange.known.term
+        exchange.receive(request.observed, update, self.vm.now())
 
     async def _send(
         self, request: messages.LeaseRequest
@@ -140,7 +157,11 @@
         shares = control.lending.answer(
             request, control.state.tree, control.clock_ms(), now
         )
-        return messages.LeaseResponse(ttl_ms, "", shares, 0)
+        board = self.vm.board
+        board.docket.expire(now)
+        term = control.replica.hard_state.term
+        update = board.answer(request.observed, term, now)
+        return messages.LeaseResponse(ttl_ms, "", shares, 0, observed=update)
 
     async def release(self) -> None:
         """Returns all shares to the leader before a planned stop."""
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -107,6 +107,7 @@
         now = self.now()
         if answer.observed is not None:
             self.exchange.receive(request.observed, answer.observed, now)
+            self._log_observations(answer.observed)
         self._synced_leader = ""
         if answer.scarce_resources is not None:
             if not answer.is_recovering:
@@ -119,6 +120,15 @@
                 self.wake.set()
         return True
 
+    def _log_observations(self, update: observations.Update) -> None:
+        if update.stated_limits or update.suspicions:
+            self.log.emit_often(
+                "observations-received",
+                stated_limits=len(update.stated_limits),
+                suspicions=len(update.suspicions),
+                convicted=sum(s.convicted_ms > 0 for s in update.suspicions),
+            )
+
     async def _call_leader(
         self, request: controlmessages.Renew
     ) -> messages.LeaseResponse | None:
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -15,6 +15,7 @@
 from pollenseam import members
 from pollenseam import messages
 from pollenseam import metrics
+from pollenseam import observations
 from pollenseam import peers
 from pollenseam import replicarunner
 from pollenseam import settings
@@ -56,6 +57,8 @@
         block_table: Regions of the client blocks in force.
         freshness: Tracks the age of the settings.
         lease_table: Leases of this VM.
+        exchange: Observations at upstreams, shared by all VMs.
+        board: What the VMs observe at upstreams; used by the leader.
         pools: Pool of upstreams, by service path.
         metrics: Counters and latencies.
         trace: Recorder of the inputs of decisions; off without a trace file.
@@ -103,6 +106,8 @@
         self.block_table = lookups.compile_blocks({})
         self.freshness = freshness.Freshness()
         self.lease_table = buckets.LeaseTable()
+        self.exchange = observations.Exchange()
+        self.board = observations.Board(self._log_conviction)
         self.pools: dict[str, upstreams.Pool] = {}
         self.metrics = metrics.Metrics()
         self.trace = traces.open_recorder(daemon_flags.trace_file)
@@ -121,6 +126,9 @@
         self._fresh_until = 0.0
         self._refreshed_sequence = -1
 
+    def _log_conviction(self, fingerprint: bytes) -> None:
+        self.log.emit("request-convicted", fingerprint=fingerprint.hex())
+
     @property
     def lease_holder(self) -> str:
         """Name under which this incarnation of the VM holds leases."""
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -8,7 +8,6 @@
 
 from pollenseam import crashwatch
 from pollenseam import events
-from pollenseam import registry
 
 
 class Recorder:
@@ -29,9 +28,7 @@
 
 
 def record(address, started_ms=1):
-    return registry.Upstream(
-        "i1", started_ms, 1, "s1", address, "d1", 3, registry.SERVING
-    )
+    return crashwatch.UpstreamStart("i1", started_ms, "s1", address)
 
 
 @pytest.fixture
