Names of the blocklist: the field's terms

Read as a newcomer would: a docket that convicts requests is a blocklist that blocks them, and a good end a success. Records expire in one place for both programs.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -147,7 +147,7 @@
         self.now = vm.boot_seconds
         self.liveness = liveness.LivenessTracker(settings.announce_seconds)
         self.freshness = freshness.Freshness()
-        self.board = observations.Board(self._log_conviction)
+        self.board = observations.Board(self._log_block)
         self.unreported_ids: set[str] = set()
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
@@ -300,7 +300,6 @@
             self.liveness.remove_expired(runner.replica.members, now)
             self._record_expired(now)
             self.board.stated_limits.retain(self.applied_registry.upstreams)
-            self.board.docket.expire(now)
             self._remove_replaced_voter(now)
 
     def _start_leading(self, term: int, now: float) -> None:
@@ -313,10 +312,10 @@
         lender.min_share_burst = MIN_SHARE_BURST
         lender.expect_reports(entry.name for entry in self.directory.entries)
 
-    def _log_conviction(self, fingerprint: bytes) -> None:
-        suspect = self.board.docket.suspects[fingerprint]
+    def _log_block(self, fingerprint: bytes) -> None:
+        suspect = self.board.blocklist.suspects[fingerprint]
         self.log.emit(
-            "request-convicted",
+            "request-blocked",
             fingerprint=fingerprint.hex(),
             upstreams=",".join(id for id, _ in suspect.crashes),
         )
@@ -448,7 +447,7 @@
                 "learners": len(replica.members.learners),
                 "entry_vms": len(self.directory.entries),
                 "control_vms": len(self.directory.controls),
-                "convicted_requests": self.board.docket.count_convicted(
+                "blocked_requests": self.board.blocklist.count_blocked(
                     self.now()
                 ),
                 "upstreams_serving": states.count(registry.SERVING),
--- a/src/pollenseam/crashes.py
+++ b/src/pollenseam/crashes.py
@@ -1,7 +1,7 @@
 """Which requests are known to crash the upstreams that run them.
 
 Entry VMs report each request that an upstream had when it ended, and each such
-request that later ran to a good end. The leader convicts a request of which
+request that later ran successfully. The leader blocks a request of which
 MIN_CRASHES runs ended so, and none well. All other requests that shared those
 upstreams are then cleared of these crashes, as they are explained.
 """
@@ -16,14 +16,14 @@
 COMMON_CAUSE_SECONDS = 0.25
 # A crash is forgotten after this time.
 CRASH_SECONDS = 300.0
-# After this time a convicted request may run again. Its crashes are then
+# After this time a blocked request may run again. Its crashes are then
 # forgotten.
-CONVICTION_SECONDS = 900.0
+BLOCK_SECONDS = 900.0
 # Suspects that are kept; those that were suspected first are dropped first.
 MAX_SUSPECTS = 1024
-# No more requests than this are convicted at a time. If so many seem to crash
+# No more requests than this are blocked at a time. If so many seem to crash
 # upstreams, something else does.
-MAX_CONVICTED = 64
+MAX_BLOCKED = 64
 NEVER = float("-inf")
 
 
@@ -54,13 +54,13 @@
     Attributes:
         fingerprint: Fingerprint of the request.
         crashes: Crashes that no other request explains; 0 for none.
-        convicted_ms: Milliseconds for which the conviction still holds; 0 if
-            the request is not convicted.
+        blocked_ms: Milliseconds for which the block still holds; 0 if
+            the request is not blocked.
     """
 
     fingerprint: bytes
     crashes: int
-    convicted_ms: int = 0
+    blocked_ms: int = 0
 
 
 # A start of an upstream: its id, and its start in Unix milliseconds.
@@ -72,24 +72,24 @@
 
     Attributes:
         crashes: Time of each crash, by start of the upstream.
-        ended_well_at: Time of the last run to a good end.
-        convicted_until: Time until which the request is convicted.
+        succeeded_at: Time of the last run that succeeded.
+        blocked_until: Time until which the request is blocked.
         changed_at: Time of the last change.
-        revision: Revision of the docket at the last change.
+        revision: Revision of the blocklist at the last change.
     """
 
     __slots__ = (
         "crashes",
-        "ended_well_at",
-        "convicted_until",
+        "succeeded_at",
+        "blocked_until",
         "changed_at",
         "revision",
     )
 
     def __init__(self) -> None:
         self.crashes: dict[Start, float] = {}
-        self.ended_well_at = NEVER
-        self.convicted_until = NEVER
+        self.succeeded_at = NEVER
+        self.blocked_until = NEVER
         self.changed_at = 0.0
         self.revision = 0
 
@@ -103,25 +103,25 @@
                 last = at
         return count
 
-    def is_convicted(self, now: float) -> bool:
+    def is_blocked(self, now: float) -> bool:
         """Returns whether the request must not be sent now."""
-        return now < self.convicted_until
+        return now < self.blocked_until
 
     def to_message(self, fingerprint: bytes, now: float) -> Suspicion:
         """Returns what other VMs are told."""
-        convicted_ms = 0
-        if self.is_convicted(now):
-            convicted_ms = int((self.convicted_until - now) * 1000)
-        return Suspicion(fingerprint, self.count(), convicted_ms)
+        blocked_ms = 0
+        if self.is_blocked(now):
+            blocked_ms = int((self.blocked_until - now) * 1000)
+        return Suspicion(fingerprint, self.count(), blocked_ms)
 
 
-class Docket:
+class Blocklist:
     """The leader's record of all suspects.
 
     Attributes:
         suspects: Suspects by fingerprint, the latest change last.
         candidates: Fingerprints of suspects with new crashes.
-        explained: Time of the conviction that explains a crash, by start of
+        explained: Time of the block that explains a crash, by start of
             the upstream, the latest last.
         revision: Number of changes.
     """
@@ -134,11 +134,11 @@
         self.explained: dict[Start, float] = {}
         self.revision = 0
 
-    def record_good_end(self, fingerprint: bytes, now: float) -> None:
-        """Clears a request, as a run of it came to a good end."""
+    def record_success(self, fingerprint: bytes, now: float) -> None:
+        """Clears a request, as a run of it succeeded."""
         suspect = self._suspect(fingerprint)
-        suspect.ended_well_at = now
-        suspect.convicted_until = NEVER
+        suspect.succeeded_at = now
+        suspect.blocked_until = NEVER
         suspect.crashes.clear()
         self._touch(fingerprint, suspect, now)
 
@@ -147,9 +147,9 @@
         at = now - report.age_ms / 1000
         suspect = self.suspects.get(report.fingerprint)
         if suspect is not None:
-            if at <= suspect.ended_well_at or report.start in suspect.crashes:
+            if at <= suspect.succeeded_at or report.start in suspect.crashes:
                 return
-            if suspect.is_convicted(now):
+            if suspect.is_blocked(now):
                 suspect.crashes[report.start] = at
                 self._explain([report.start], now)
                 return
@@ -160,34 +160,34 @@
         self.candidates.add(report.fingerprint)
         self._touch(report.fingerprint, suspect, now)
 
-    def convict(self, now: float) -> list[bytes]:
-        """Convicts the requests that crashed enough upstreams.
+    def block(self, now: float) -> list[bytes]:
+        """Blocks the requests that crashed enough upstreams.
 
-        The one with the most crashes is convicted first, as its crashes may
+        The one with the most crashes is blocked first, as its crashes may
         explain those of others.
 
         Returns:
-            Fingerprints of the requests that are convicted now.
+            Fingerprints of the requests that are blocked now.
         """
-        convicted: list[bytes] = []
-        while self.candidates and self.count_convicted(now) < MAX_CONVICTED:
+        blocked: list[bytes] = []
+        while self.candidates and self.count_blocked(now) < MAX_BLOCKED:
             fingerprint = self._worst_suspect(now)
             if fingerprint is None:
                 break
             suspect = self.suspects[fingerprint]
-            suspect.convicted_until = now + CONVICTION_SECONDS
+            suspect.blocked_until = now + BLOCK_SECONDS
             self._touch(fingerprint, suspect, now)
             self._explain(suspect.crashes, now)
-            convicted.append(fingerprint)
+            blocked.append(fingerprint)
         self.candidates.clear()
-        return convicted
+        return blocked
 
     def restore(self, suspicion: Suspicion, now: float) -> None:
-        """Takes over the conviction of an earlier leader from a VM."""
+        """Takes over a block by an earlier leader, which a VM knows."""
         suspect = self._suspect(suspicion.fingerprint)
-        if suspect.is_convicted(now) or suspect.ended_well_at > NEVER:
+        if suspect.is_blocked(now) or suspect.succeeded_at > NEVER:
             return
-        suspect.convicted_until = now + suspicion.convicted_ms / 1000
+        suspect.blocked_until = now + suspicion.blocked_ms / 1000
         self._touch(suspicion.fingerprint, suspect, now)
 
     def changes_since(self, revision: int, now: float) -> list[Suspicion]:
@@ -206,16 +206,16 @@
         for fingerprint, suspect in self.suspects.items():
             if suspect.changed_at > oldest:
                 break
-            if not suspect.is_convicted(now):
+            if not suspect.is_blocked(now):
                 old.append(fingerprint)
         for fingerprint in old:
             del self.suspects[fingerprint]
         while self.explained and next(iter(self.explained.values())) <= oldest:
             del self.explained[next(iter(self.explained))]
 
-    def count_convicted(self, now: float) -> int:
-        """Returns the number of convicted requests."""
-        return sum(s.is_convicted(now) for s in self.suspects.values())
+    def count_blocked(self, now: float) -> int:
+        """Returns the number of blocked requests."""
+        return sum(s.is_blocked(now) for s in self.suspects.values())
 
     def _suspect(self, fingerprint: bytes) -> Suspect:
         suspect = self.suspects.get(fingerprint)
@@ -227,7 +227,7 @@
 
     def _drop_oldest(self) -> None:
         for fingerprint, suspect in self.suspects.items():
-            if suspect.convicted_until < suspect.changed_at:
+            if suspect.blocked_until < suspect.changed_at:
                 del self.suspects[fingerprint]
                 return
 
@@ -236,7 +236,7 @@
         most = 0
         for fingerprint in self.candidates & self.suspects.keys():
             suspect = self.suspects[fingerprint]
-            if suspect.is_convicted(now) or len(suspect.crashes) <= most:
+            if suspect.is_blocked(now) or len(suspect.crashes) <= most:
                 continue
             if suspect.count() >= MIN_CRASHES:
                 worst = fingerprint
@@ -251,7 +251,7 @@
             self.explained[start] = now
         cleared: list[bytes] = []
         for fingerprint, suspect in self.suspects.items():
-            if suspect.is_convicted(now):
+            if suspect.is_blocked(now):
                 continue
             shared = starts & suspect.crashes.keys()
             for start in shared:
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -102,7 +102,7 @@
 
         Raises:
             RefusedError: No upstream sent a complete reply in time, none has
-                room, or the call is convicted of crashing upstreams.
+                room, or the call is blocked for crashing upstreams.
         """
         self._check_crashes(active_call)
         self._budget(active_call.service).record_request(self.now())
@@ -126,13 +126,13 @@
                 return reply
 
     def _check_crashes(self, active_call: calls.ActiveCall) -> None:
-        """Refuses a convicted call, and sends a suspect one with care."""
+        """Refuses a blocked call, and sends a suspect one with care."""
         watchlist = self.watchlist
         if watchlist.is_empty:
             return
         now = self.now()
         fingerprint = active_call.fingerprint
-        until = watchlist.convicted_until(fingerprint, now)
+        until = watchlist.blocked_until(fingerprint, now)
         if until is not None:
             raise errors.refuse(
                 errors.Kind.CRASHES_UPSTREAMS,
@@ -188,7 +188,7 @@
             return False
         if not active_call.is_risky:
             return True
-        until = self.watchlist.convicted_until(active_call.fingerprint, now)
+        until = self.watchlist.blocked_until(active_call.fingerprint, now)
         return until is None
 
     def _no_upstream(
@@ -435,7 +435,7 @@
         active_call.deliveries += 1
         active_call.executions += 1
         if not self.watchlist.is_empty:
-            self.watchlist.record_good_end(active_call.fingerprint)
+            self.watchlist.record_success(active_call.fingerprint)
         if reply.status < 500:
             self._record_served(active_call, choice, reply.status, started)
             self._update_estimates(active_call, choice, now - started)
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -209,8 +209,8 @@
 
         Raises:
             RefusedError: No upstream answered the request, or its streamed
-                body was too large or incomplete; or the request is convicted
-                of crashing upstreams.
+                body was too large or incomplete; or the request is blocked
+                for crashing upstreams.
         """
         self._check_crashes(exchange)
         service = exchange.route.service
@@ -232,12 +232,12 @@
                 self.vm.metrics.retries += 1
 
     def _check_crashes(self, exchange: Exchange) -> None:
-        """Refuses a request that is convicted of crashing upstreams."""
+        """Refuses a request that is blocked for crashing upstreams."""
         watchlist = self.vm.exchange.watchlist
         if watchlist.is_empty or not exchange.fingerprint:
             return
         now = self.vm.now()
-        until = watchlist.convicted_until(exchange.fingerprint, now)
+        until = watchlist.blocked_until(exchange.fingerprint, now)
         if until is not None:
             raise errors.refuse(
                 errors.Kind.CRASHES_UPSTREAMS,
@@ -507,7 +507,7 @@
             response.close()
         watchlist = self.vm.exchange.watchlist
         if is_complete and not watchlist.is_empty:
-            watchlist.record_good_end(streaming.exchange.fingerprint)
+            watchlist.record_success(streaming.exchange.fingerprint)
         now = self.vm.now()
         pool = self.vm.pool(reservation.service)
         elapsed_seconds = now - reservation.started
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -35,15 +35,15 @@
         known: What the VM has received.
         stated_limits: Rates stated by upstreams.
         crashed_runs: Requests that an upstream had when it ended.
-        ended_well: Fingerprints of suspects that ran to a good end.
-        convictions: Convictions that the VM knows, if the leader may be new.
+        succeeded: Fingerprints of suspects that ran successfully.
+        blocks: Blocks that the VM knows, if the leader may be new.
     """
 
     known: Revisions = Revisions()
     stated_limits: tuple[statedlimits.StatedLimit, ...] = ()
     crashed_runs: tuple[crashes.CrashReport, ...] = ()
-    ended_well: tuple[bytes, ...] = ()
-    convictions: tuple[crashes.Suspicion, ...] = ()
+    succeeded: tuple[bytes, ...] = ()
+    blocks: tuple[crashes.Suspicion, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True):
@@ -89,8 +89,8 @@
             self.known,
             tuple(self.stated_limits.unreported(is_full, now)),
             tuple(watchlist.reports(is_full, now)),
-            tuple(watchlist.ended_well),
-            tuple(watchlist.convictions(now)) if is_full else (),
+            tuple(watchlist.succeeded),
+            tuple(watchlist.blocks(now)) if is_full else (),
         )
 
     def receive(self, report: Report, update: Update, now: float) -> None:
@@ -98,7 +98,7 @@
         self.known = update.revisions
         self.stated_limits.mark_reported(report.stated_limits)
         self.stated_limits.adopt(update.stated_limits, now)
-        self.watchlist.mark_reported(report.crashed_runs, report.ended_well)
+        self.watchlist.mark_reported(report.crashed_runs, report.succeeded)
         self.watchlist.adopt(update.suspicions, now)
 
 
@@ -107,17 +107,17 @@
 
     Attributes:
         stated_limits: Rates stated by upstreams.
-        docket: Requests that may crash upstreams.
-        on_conviction: Called with the fingerprint of each request that is
-            convicted.
+        blocklist: Requests that may crash upstreams.
+        on_block: Called with the fingerprint of each request that is
+            blocked.
     """
 
-    __slots__ = ("stated_limits", "docket", "on_conviction")
+    __slots__ = ("stated_limits", "blocklist", "on_block")
 
-    def __init__(self, on_conviction: Callable[[bytes], None]) -> None:
+    def __init__(self, on_block: Callable[[bytes], None]) -> None:
         self.stated_limits = statedlimits.Table()
-        self.docket = crashes.Docket()
-        self.on_conviction = on_conviction
+        self.blocklist = crashes.Blocklist()
+        self.on_block = on_block
 
     def answer(self, report: Report, term: int, now: float) -> Update:
         """Adopts an entry VM's report and returns what it does not know."""
@@ -125,21 +125,22 @@
         self._adopt_crashes(report, now)
         known = report.known if report.known.term == term else Revisions()
         revisions = Revisions(
-            term, self.stated_limits.revision, self.docket.revision
+            term, self.stated_limits.revision, self.blocklist.revision
         )
         return Update(
             revisions,
             self.stated_limits.changes_since(known.stated_limits, now),
-            self.docket.changes_since(known.crashes, now),
+            self.blocklist.changes_since(known.crashes, now),
         )
 
     def _adopt_crashes(self, report: Report, now: float) -> None:
-        docket = self.docket
-        for suspicion in report.convictions:
-            docket.restore(suspicion, now)
+        blocklist = self.blocklist
+        blocklist.expire(now)
+        for suspicion in report.blocks:
+            blocklist.restore(suspicion, now)
         for crashed_run in report.crashed_runs:
-            docket.record_crash(crashed_run, now)
-        for fingerprint in report.ended_well:
-            docket.record_good_end(fingerprint, now)
-        for fingerprint in docket.convict(now):
-            self.on_conviction(fingerprint)
+            blocklist.record_crash(crashed_run, now)
+        for fingerprint in report.succeeded:
+            blocklist.record_success(fingerprint, now)
+        for fingerprint in blocklist.block(now):
+            self.on_block(fingerprint)
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -158,7 +158,6 @@
             request, control.state.tree, control.clock_ms(), now
         )
         board = self.vm.board
-        board.docket.expire(now)
         term = control.replica.hard_state.term
         update = board.answer(request.observed, term, now)
         return messages.LeaseResponse(ttl_ms, "", shares, 0, observed=update)
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -126,7 +126,7 @@
                 "observations-received",
                 stated_limits=len(update.stated_limits),
                 suspicions=len(update.suspicions),
-                convicted=sum(s.convicted_ms > 0 for s in update.suspicions),
+                blocked=sum(s.blocked_ms > 0 for s in update.suspicions),
             )
 
     async def _call_leader(
--- a/src/pollenseam/suspects.py
+++ b/src/pollenseam/suspects.py
@@ -36,39 +36,39 @@
 
     Attributes:
         crashes: Crashes that no other request explains.
-        convicted_until: Time in seconds until which it must not be sent.
+        blocked_until: Time in seconds until which it must not be sent.
         heard_at: Time in seconds at which the leader said so.
     """
 
-    __slots__ = ("crashes", "convicted_until", "heard_at")
+    __slots__ = ("crashes", "blocked_until", "heard_at")
 
     def __init__(
-        self, crashes: int, convicted_until: float, heard_at: float
+        self, crashes: int, blocked_until: float, heard_at: float
     ) -> None:
         self.crashes = crashes
-        self.convicted_until = convicted_until
+        self.blocked_until = blocked_until
         self.heard_at = heard_at
 
 
 class Watchlist:
-    """Suspects and convicted requests, as one entry VM knows them.
+    """Suspects and blocked requests, as one entry VM knows them.
 
     Attributes:
         own_runs: Crashed runs through this VM, by fingerprint and start of
             the upstream, oldest first.
         own_counts: Number of `own_runs` by fingerprint.
         known: What the leader said, by fingerprint.
-        ended_well: Fingerprints of suspects of which a run through this VM
-            came to a good end, not reported yet.
+        succeeded: Fingerprints of suspects of which a run through this VM
+            succeeded, not reported yet.
     """
 
-    __slots__ = ("own_runs", "own_counts", "known", "ended_well")
+    __slots__ = ("own_runs", "own_counts", "known", "succeeded")
 
     def __init__(self) -> None:
         self.own_runs: dict[tuple[bytes, str, int], OwnRun] = {}
         self.own_counts: dict[bytes, int] = {}
         self.known: dict[bytes, Known] = {}
-        self.ended_well: dict[bytes, None] = {}
+        self.succeeded: dict[bytes, None] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -80,15 +80,15 @@
         key = (run.fingerprint, run.upstream, run.started_ms)
         if key in self.own_runs:
             return
-        self.ended_well.pop(run.fingerprint, None)
+        self.succeeded.pop(run.fingerprint, None)
         self.own_runs[key] = OwnRun(run)
         count = self.own_counts.get(run.fingerprint, 0)
         self.own_counts[run.fingerprint] = count + 1
         if len(self.own_runs) > crashes.MAX_SUSPECTS:
             self._drop_own(next(iter(self.own_runs)))
 
-    def record_good_end(self, fingerprint: bytes) -> None:
-        """Records that a run of a request came to a good end."""
+    def record_success(self, fingerprint: bytes) -> None:
+        """Records that a run of a request succeeded."""
         is_own = fingerprint in self.own_counts
         if not is_own and fingerprint not in self.known:
             return
@@ -96,7 +96,7 @@
             for key in [k for k in self.own_runs if k[0] == fingerprint]:
                 self._drop_own(key)
         self.known.pop(fingerprint, None)
-        self.ended_well[fingerprint] = None
+        self.succeeded[fingerprint] = None
 
     def crash_count(self, fingerprint: bytes) -> int:
         """Returns the number of crashes that a request may have caused."""
@@ -104,12 +104,12 @@
         own = self.own_counts.get(fingerprint, 0)
         return max(own, known.crashes if known is not None else 0)
 
-    def convicted_until(self, fingerprint: bytes, now: float) -> float | None:
-        """Returns until when a request is convicted, or None if it is not."""
+    def blocked_until(self, fingerprint: bytes, now: float) -> float | None:
+        """Returns until when a request is blocked, or None if it is not."""
         known = self.known.get(fingerprint)
-        if known is None or known.convicted_until <= now:
+        if known is None or known.blocked_until <= now:
             return None
-        return known.convicted_until
+        return known.blocked_until
 
     def reports(self, is_full: bool, now: float) -> list[crashes.CrashReport]:
         """Returns the crashed runs for the next message to the leader.
@@ -125,30 +125,30 @@
         ]
         return due[:MAX_REPORTED]
 
-    def convictions(self, now: float) -> list[crashes.Suspicion]:
-        """Returns the convictions that this VM knows, for a new leader."""
+    def blocks(self, now: float) -> list[crashes.Suspicion]:
+        """Returns the blocks that this VM knows, for a new leader."""
         return [
             crashes.Suspicion(
                 fingerprint,
                 known.crashes,
-                int((known.convicted_until - now) * 1000),
+                int((known.blocked_until - now) * 1000),
             )
             for fingerprint, known in self.known.items()
-            if known.convicted_until > now
+            if known.blocked_until > now
         ]
 
     def mark_reported(
         self,
         reports: Iterable[crashes.CrashReport],
-        ended_well: Iterable[bytes],
+        succeeded: Iterable[bytes],
     ) -> None:
         """Records that the leader has received these reports."""
         for report in reports:
             own = self.own_runs.get((report.fingerprint, *report.start))
             if own is not None:
                 own.is_reported = True
-        for fingerprint in ended_well:
-            self.ended_well.pop(fingerprint, None)
+        for fingerprint in succeeded:
+            self.succeeded.pop(fingerprint, None)
 
     def adopt(
         self, suspicions: Iterable[crashes.Suspicion], now: float
@@ -156,12 +156,12 @@
         """Records what the leader says of requests."""
         for suspicion in suspicions:
             fingerprint = suspicion.fingerprint
-            if fingerprint in self.ended_well:
+            if fingerprint in self.succeeded:
                 continue
-            if not suspicion.crashes and not suspicion.convicted_ms:
+            if not suspicion.crashes and not suspicion.blocked_ms:
                 self._clear(fingerprint)
                 continue
-            until = now + suspicion.convicted_ms / 1000
+            until = now + suspicion.blocked_ms / 1000
             self.known[fingerprint] = Known(suspicion.crashes, until, now)
 
     def _clear(self, fingerprint: bytes) -> None:
@@ -178,7 +178,7 @@
             if own.run.broken_at < oldest:
                 self._drop_own(key)
         for fingerprint, known in list(self.known.items()):
-            if max(known.heard_at - oldest, known.convicted_until - now) <= 0:
+            if max(known.heard_at - oldest, known.blocked_until - now) <= 0:
                 del self.known[fingerprint]
 
     def _drop_own(self, key: tuple[bytes, str, int]) -> None:
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -107,7 +107,7 @@
         self.freshness = freshness.Freshness()
         self.lease_table = buckets.LeaseTable()
         self.exchange = observations.Exchange()
-        self.board = observations.Board(self._log_conviction)
+        self.board = observations.Board(self._log_block)
         self.pools: dict[str, upstreams.Pool] = {}
         self.metrics = metrics.Metrics()
         self.trace = traces.open_recorder(daemon_flags.trace_file)
@@ -126,8 +126,8 @@
         self._fresh_until = 0.0
         self._refreshed_sequence = -1
 
-    def _log_conviction(self, fingerprint: bytes) -> None:
-        self.log.emit("request-convicted", fingerprint=fingerprint.hex())
+    def _log_block(self, fingerprint: bytes) -> None:
+        self.log.emit("request-blocked", fingerprint=fingerprint.hex())
 
     @property
     def lease_holder(self) -> str:
--- a/tests/test_daemon_crashes.py
+++ b/tests/test_daemon_crashes.py
@@ -5,25 +5,17 @@
 
 import harness
 import pytest
+import scripted
 
 UPSTREAM_COUNT = 14
 
 
-class CrashingUpstream:
+class CrashingUpstream(scripted.ScriptedUpstream):
     """Ends as soon as it has received a request."""
 
     def __init__(self):
+        super().__init__([])
         self.crashes = 0
-        self.address = ""
-        self._server = None
-
-    async def listen(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    def close(self):
-        self._server.close()
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -20,8 +20,8 @@
 
     def change_leader(self):
         self.term += 1
-        self.convicted = []
-        self.board = observations.Board(self.convicted.append)
+        self.blocked = []
+        self.board = observations.Board(self.blocked.append)
 
     def renew(self, now, is_full=False):
         for exchange in self.exchanges:
@@ -31,12 +31,12 @@
 
     def refusing(self, fingerprint, now):
         return sum(
-            e.watchlist.convicted_until(fingerprint, now) is not None
+            e.watchlist.blocked_until(fingerprint, now) is not None
             for e in self.exchanges
         )
 
 
-def convict(fleet):
+def block(fleet):
     for number in range(3):
         watchlist = fleet.exchanges[number].watchlist
         crash(watchlist, b"d", f"i{number}", float(number))
@@ -46,23 +46,23 @@
 
 def test_all_vms_refuse_a_request_that_crashed_upstreams_through_several():
     fleet = Fleet(5)
-    convict(fleet)
-    assert fleet.convicted == [b"d"]
+    block(fleet)
+    assert fleet.blocked == [b"d"]
     assert fleet.refusing(b"d", 3.0) == 5
 
 
-def test_a_conviction_survives_the_leader_and_the_vms_that_reported_it():
+def test_a_block_survives_the_leader_and_the_vms_that_reported_it():
     """Guards against three more crashes after each failover."""
     fleet = Fleet(5)
-    convict(fleet)
+    block(fleet)
     for number in range(3):
         fleet.exchanges[number] = observations.Exchange()
     fleet.change_leader()
     fleet.renew(3.0, is_full=True)
     fleet.renew(3.5)
     assert fleet.refusing(b"d", 4.0) == 5
-    until = {e.watchlist.convicted_until(b"d", 4.0) for e in fleet.exchanges}
-    assert max(until) <= 2.0 + crashes.CONVICTION_SECONDS + 0.1
+    until = {e.watchlist.blocked_until(b"d", 4.0) for e in fleet.exchanges}
+    assert max(until) <= 2.0 + crashes.BLOCK_SECONDS + 0.1
 
 
 def test_crashes_before_a_failover_count_after_it():
@@ -78,14 +78,14 @@
     assert fleet.refusing(b"d", 4.0) == 3
 
 
-def test_a_good_end_at_one_vm_clears_a_request_at_all():
+def test_a_success_at_one_vm_clears_a_request_at_all():
     fleet = Fleet(3)
     for number in range(2):
         crash(fleet.exchanges[number].watchlist, b"p", f"i{number}")
     fleet.renew(0.0)
     fleet.renew(0.5)
     assert fleet.exchanges[2].watchlist.crash_count(b"p") > 0
-    fleet.exchanges[2].watchlist.record_good_end(b"p")
+    fleet.exchanges[2].watchlist.record_success(b"p")
     fleet.renew(1.0)
     fleet.renew(1.5)
     assert [e.watchlist.crash_count(b"p") for e in fleet.exchanges] == [0] * 3
@@ -95,7 +95,7 @@
 def test_what_the_leader_said_is_forgotten_once_it_is_old():
     """Guards against suspicion for good, as the leader tells no ends of it."""
     fleet = Fleet(4)
-    convict(fleet)
+    block(fleet)
     crash(fleet.exchanges[0].watchlist, b"p", "i7", 3.0)
     fleet.renew(3.0)
     fleet.renew(3.5)
@@ -103,14 +103,14 @@
     assert watchlist.known.keys() == {b"d", b"p"}
     watchlist.expire(4.0 + crashes.CRASH_SECONDS)
     assert watchlist.known.keys() == {b"d"}
-    watchlist.expire(4.0 + crashes.CONVICTION_SECONDS)
+    watchlist.expire(4.0 + crashes.BLOCK_SECONDS)
     assert watchlist.is_empty
 
 
-def test_a_good_end_before_the_report_makes_the_report_needless():
+def test_a_success_before_the_report_makes_the_report_needless():
     watchlist = suspects.Watchlist()
     crash(watchlist, b"p", "i1")
-    watchlist.record_good_end(b"p")
+    watchlist.record_success(b"p")
     assert watchlist.reports(False, 1.0) == []
     assert watchlist.is_empty
 
