--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -22,8 +22,8 @@
             server = await cluster.add_server(f"i-{number}")
             server.delay_seconds = 0.05
             server.deadly_path = DEADLY_PATH
-        await cluster.wait_until(lambda: all_serve(cluster))
         async with cluster.sending_heartbeats():
+            await cluster.wait_until(lambda: all_serve(cluster))
             proper = asyncio.create_task(send_proper(cluster))
             arrivals = await send_deadly(cluster)
             answers = await proper
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -233,10 +233,10 @@
     await entry.kill()
     await entry.start()
     server = await cluster.add_server("i-1")
-    await wait_until_served(cluster)
-    server.delay_seconds = 0.6
-    count = len(server.received_requests)
     async with cluster.sending_heartbeats():
+        await wait_until_served(cluster)
+        server.delay_seconds = 0.6
+        count = len(server.received_requests)
         requests = []
         entry.process.send_signal(signal.SIGTERM)
         while entry.process.returncode is None:
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -47,11 +47,11 @@
         limited = await cluster.add_server("i-1")
         await cluster.add_server("i-2")
         limited.reply_headers["Server-Limit"] = "1.5"
-        for entry_index in range(3):
-            await cluster.wait_until(
-                lambda n=entry_index: is_served(cluster, n)
-            )
         async with cluster.sending_heartbeats():
+            for entry_index in range(3):
+                await cluster.wait_until(
+                    lambda n=entry_index: is_served(cluster, n)
+                )
             statuses = await send_evenly(cluster, seconds=7.0, per_second=30)
     first = limited.arrived_at[0]
     arrivals = [t for t in limited.arrived_at if t > first + 1.0]
