--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -8,6 +8,7 @@
 import aiohttp
 import yarl
 
+from pollenseam import attempts
 from pollenseam import calls
 from pollenseam import crashwatch
 from pollenseam import errors
@@ -46,7 +47,7 @@
     Attributes:
         protocol: Writes and reads the headers of the upstreams' protocol.
         log: Event log.
-        attempts: Counts attempts by service and outcome.
+        attempt_log: Counts and logs attempts.
         now: Returns the time since boot in seconds.
         vm_count: Number of entry VMs that share the retry budgets.
         retry_ratio: Retries per request, over all entry VMs.
@@ -64,7 +65,7 @@
         self,
         protocol: calls.UpstreamProtocol,
         log: events.EventLog,
-        attempts: metrics.Counter,
+        attempt_counter: metrics.Counter,
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
@@ -74,8 +75,8 @@
     ) -> None:
         self.protocol = protocol
         self.log = log
-        self.attempts = attempts
         self.now = vm.boot_seconds
+        self.attempt_log = attempts.AttemptLog(log, attempt_counter, self.now)
         self.vm_count = 1
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
@@ -258,7 +259,7 @@
         ) as error:
             upstream.record_unreachable(self.now())
             active_call.connect_failures += 1
-            self._record_attempt(
+            self.attempt_log.record_attempt(
                 active_call, upstream, "unreachable", started, repr(error)
             )
             active_call.refusal = active_call.refusal or errors.Refusal(
@@ -267,7 +268,7 @@
             return None
         except TimeoutError:
             self._record_timeout(upstream, response is not None)
-            self._record_attempt(
+            self.attempt_log.record_attempt(
                 active_call, upstream, "no-answer-in-time", started, ""
             )
             raise errors.refuse(
@@ -315,7 +316,9 @@
             "the upstream broke the connection",
             "unknown",
         )
-        self._record_attempt(active_call, upstream, "broken", started, why)
+        self.attempt_log.record_attempt(
+            active_call, upstream, "broken", started, why
+        )
 
     async def _send_request(
         self,
@@ -421,7 +424,9 @@
             active_call.refusal = errors.Refusal(
                 errors.Kind.NO_ROOM, "the upstream has no room", "no"
             )
-        self._record_attempt(active_call, upstream, outcome, started, "")
+        self.attempt_log.record_attempt(
+            active_call, upstream, outcome, started, ""
+        )
 
     def _evaluate_reply(
         self,
@@ -437,11 +442,13 @@
         if not self.watchlist.is_empty:
             self.watchlist.record_success(active_call.fingerprint)
         if reply.status < 500:
-            self._record_served(active_call, choice, reply.status, started)
+            self.attempt_log.record_served(
+                active_call, choice, reply.status, started
+            )
             self._update_estimates(active_call, choice, now - started)
             return reply
         upstream.record_error(now)
-        self._record_attempt(
+        self.attempt_log.record_attempt(
             active_call, upstream, "failed", started, str(reply.status)
         )
         active_call.reply = reply
@@ -464,35 +471,6 @@
         budget = self._budget(active_call.service)
         return budget.can_spend(self.vm_count, now)
 
-    def _record_served(
-        self,
-        active_call: calls.ActiveCall,
-        choice: steering.Choice,
-        status: int,
-        started: float,
-    ) -> None:
-        upstream = choice.upstream
-        object_id = active_call.object
-        self.attempts.add(active_call.service, "served")
-        self.log.emit_often(
-            "served",
-            request=active_call.call.id,
-            route=active_call.named_route.name,
-            service=active_call.service,
-            upstream=upstream.record.id,
-            status=status,
-            rank=choice.rank,
-            object=object_id,
-            known=object_id in upstream.warm_objects,
-            seconds=self.now() - started,
-            expected_wait=choice.wait_seconds,
-            expected_work=choice.work_seconds,
-            load=upstream.load(self.now()),
-            held_seconds=self.now() - active_call.call.arrived_at,
-            runs=active_call.executions,
-            arrivals=active_call.deliveries,
-        )
-
     def _update_estimates(
         self,
         active_call: calls.ActiveCall,
@@ -513,29 +491,3 @@
                     active_call.named_route.name, seconds / ratio
                 )
         upstream.record_success(object_id, seconds, expected_seconds, now)
-
-    def _record_attempt(
-        self,
-        active_call: calls.ActiveCall,
-        upstream: upstreamstats.UpstreamStats,
-        outcome: str,
-        started: float,
-        why: str,
-    ) -> None:
-        self.attempts.add(active_call.service, outcome)
-        self.log.emit_often(
-            "try",
-            request=active_call.call.id,
-            service=active_call.service,
-            upstream=upstream.record.id,
-            outcome=outcome,
-            seconds=self.now() - started,
-            in_flight=upstream.in_flight,
-            load=upstream.load(self.now()),
-            runs=active_call.executions,
-            arrivals=active_call.deliveries,
-            fingerprint=(
-                active_call.fingerprint.hex() if outcome == "broken" else None
-            ),
-            why=why or None,
-        )
