--- a/src/pollenseam/attempts.py
+++ b/src/pollenseam/attempts.py
@@ -84,5 +84,6 @@
             fingerprint=(
                 active_call.fingerprint.hex() if outcome == "broken" else None
             ),
+            connection=active_call.connection,
             why=why or None,
         )
--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -5,6 +5,7 @@
 import aiohttp
 import multidict
 
+from pollenseam import connects
 from pollenseam import errors
 from pollenseam import fingerprints
 from pollenseam import routing
@@ -194,6 +195,8 @@
             may have been executed take precedence.
         is_risky: Whether the call may crash the upstream that runs it.
         max_runs: Number of upstreams that may run the call.
+        connection: Kind of connection that the last attempt used, see
+            `connects`.
     """
 
     __slots__ = (
@@ -212,6 +215,7 @@
         "refusal",
         "is_risky",
         "max_runs",
+        "connection",
         "_fingerprint",
     )
 
@@ -240,6 +244,7 @@
         self.refusal: errors.Refusal | None = None
         self.is_risky = False
         self.max_runs = named_route.route.max_attempts
+        self.connection = connects.NONE
         self._fingerprint = b""
 
     @property
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -4,16 +4,20 @@
 """
 
 import asyncio
+import errno
+import functools
 
 import aiohttp
 import yarl
 
 from pollenseam import attempts
 from pollenseam import calls
+from pollenseam import connects
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
+from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import replybuffers
 from pollenseam import retries
@@ -39,6 +43,8 @@
 # A call is refused when less time is left than the expected wait and this part
 # of the expected work, the least that the work is assumed to need.
 MIN_WORK_RATIO = 0.6
+# Errors of a connection whose peer is out of reach.
+NO_PATH_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
 class Dispatcher:
@@ -58,6 +64,7 @@
         stated_limits: Rates that upstreams state.
         watchlist: Requests that may crash upstreams.
         crash_watch: Finds out which upstreams ended with requests of this VM.
+        reach_watch: Follows which services this VM reaches.
         session: HTTP client session for all upstreams.
     """
 
@@ -72,6 +79,7 @@
         stated_limits: statedlimits.Table,
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
+        reach_watch: reachwatch.ReachWatch,
     ) -> None:
         self.protocol = protocol
         self.log = log
@@ -86,8 +94,9 @@
         self.stated_limits = stated_limits
         self.watchlist = watchlist
         self.crash_watch = crash_watch
+        self.reach_watch = reach_watch
         self.session = sessions.open_session(
-            CONNECT_SECONDS, KEEP_ALIVE_SECONDS
+            CONNECT_SECONDS, KEEP_ALIVE_SECONDS, connects.trace_config()
         )
 
     async def close(self) -> None:
@@ -259,6 +268,7 @@
         ) as error:
             upstream.record_unreachable(self.now())
             active_call.connect_failures += 1
+            self._record_connect_failed(active_call, upstream, error)
             self.attempt_log.record_attempt(
                 active_call, upstream, "unreachable", started, repr(error)
             )
@@ -279,9 +289,25 @@
             if isinstance(error, BREAKS):
                 active_call.is_risky = True
                 self._record_break(active_call, upstream.record)
+            if getattr(error, "errno", None) in NO_PATH_ERRORS:
+                self._record_connect_failed(active_call, upstream, error)
             self._record_broken(active_call, upstream, started, repr(error))
             return None
 
+    def _record_connect_failed(
+        self,
+        active_call: calls.ActiveCall,
+        upstream: upstreamstats.UpstreamStats,
+        error: Exception,
+    ) -> None:
+        """Records that this VM has no connection to an upstream."""
+        self.reach_watch.record_connect_failed(
+            active_call.service,
+            upstream.record.id,
+            len(active_call.pool.upstreams),
+            connects.failure_outcome(error),
+        )
+
     def _record_break(
         self, active_call: calls.ActiveCall, record: registry.Upstream
     ) -> None:
@@ -331,14 +357,33 @@
             call, upstream.record.id, left_seconds
         )
         address = upstream.record.address
+        active_call.connection = connects.NONE
         return await self.session.request(
             call.method,
             yarl.URL(f"http://{address}{call.target}", encoded=True),
             headers=headers,
             data=call.body or None,
             allow_redirects=False,
+            trace_request_ctx=functools.partial(
+                self._record_connection, active_call, upstream
+            ),
         )
 
+    def _record_connection(
+        self,
+        active_call: calls.ActiveCall,
+        upstream: upstreamstats.UpstreamStats,
+        kind: str,
+    ) -> None:
+        """Records the connection that a call has got to an upstream."""
+        active_call.connection = kind
+        if kind == connects.NEW:
+            self.reach_watch.record_connected(
+                active_call.service,
+                upstream.record.id,
+                len(active_call.pool.upstreams),
+            )
+
     async def _read_reply(
         self,
         active_call: calls.ActiveCall,
@@ -359,6 +404,7 @@
                 response.release()
             else:
                 response.close()
+        self.reach_watch.record_reply(active_call.service)
         now = self.now()
         if not head.is_replaced and (head.matches_request or head.is_not_run):
             self._record_stated_limit(upstream, head.stated_limit)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -17,6 +17,7 @@
 from pollenseam import metrics
 from pollenseam import observations
 from pollenseam import peers
+from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import registrysync
 from pollenseam import routing
@@ -121,6 +122,7 @@
         freshness: Age of the registry.
         exchange: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
+        reach_watch: Follows which services this VM reaches.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
         stop_deadline: Time in seconds at which this VM stops; infinite unless
@@ -152,6 +154,9 @@
             log, peer_client, self.now, lambda: self.own_record, self.exchange
         )
         self.metrics = metrics.EntryMetrics()
+        self.reach_watch = reachwatch.ReachWatch(
+            log, self.now, self.metrics.connects
+        )
         self.dispatcher = dispatcher.Dispatcher(
             protocol,
             log,
@@ -162,6 +167,7 @@
             self.exchange.stated_limits,
             self.exchange.watchlist,
             crashwatch.CrashWatch(log, self.now, self._record_crash),
+            self.reach_watch,
         )
         self.is_leaving = False
         self.stop_deadline = float("inf")
@@ -360,6 +366,7 @@
                     self.exchange.stated_limits,
                 )
             pool.update(records, settings.regions, now)
+            self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
         self.exchange.stated_limits.retain(self.registry.upstreams)
@@ -524,6 +531,7 @@
                 "upstreams": upstreams,
                 "entry_vms": len(self.directory.entries),
                 "stated_limits": self.exchange.stated_limits.count,
+                **self.reach_watch.gauges(),
             }
         )
         return exposition + self.peers.traffic.expose()
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -115,6 +115,7 @@
         workspaces: Answers to callers, by workspace and "answered" or error
             kind.
         attempts: Requests sent to upstreams, by service and outcome.
+        connects: Connections to upstreams, by service and outcome.
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
         apply_latencies: Time to put a change of the registry in force, by
@@ -125,6 +126,7 @@
         "answers",
         "workspaces",
         "attempts",
+        "connects",
         "latencies",
         "refusal_latencies",
         "apply_latencies",
@@ -134,6 +136,7 @@
         self.answers = Counter("answers_total", "route", "outcome")
         self.workspaces = Counter("workspace_total", "workspace", "outcome")
         self.attempts = Counter("tries_total", "service", "outcome")
+        self.connects = Counter("connects_total", "service", "outcome")
         self.latencies = Summary("latency_seconds", "route")
         self.refusal_latencies = Summary("refusal_held_seconds", "kind")
         self.apply_latencies = Summary("registry_apply_seconds", "content")
@@ -144,7 +147,12 @@
         Args:
             gauges: Values of gauges to include, by name without the prefix.
         """
-        counters = (self.answers, self.workspaces, self.attempts)
+        counters = (
+            self.connects,
+            self.attempts,
+            self.answers,
+            self.workspaces,
+        )
         latencies = (
             self.latencies,
             self.refusal_latencies,
--- /dev/null
+++ b/src/pollenseam/reachability.py
@@ -0,0 +1,152 @@
+"""Whether this VM reaches the upstreams of a service; does no I/O.
+
+The evidence is that of the calls themselves: connections that were opened or
+could not be opened, and replies. It concerns this VM's way to all upstreams of
+a service, not the state of one upstream (`upstreamstats`), and cannot tell a
+partition of this VM from a service that is down for all VMs.
+"""
+
+import collections
+from collections.abc import Container
+
+# Failed connects to this many upstreams, or to all if there are fewer, without
+# a successful one between them, mean that the service is not reached.
+UNREACHED_COUNT = 2
+# A failed connect is no evidence beside one that fails much later.
+EVIDENCE_SECONDS = 8.0
+# Kept connections are trusted for this time after a reply.
+LIVE_SECONDS = 1.0
+# Each return within this time raises the number of upstreams that must accept a
+# connection before the next return.
+FLAP_SECONDS = 10.0
+MAX_RETURN_COUNT = 4
+
+
+class ServiceReach:
+    """Whether this VM reaches the upstreams of one service.
+
+    All times are in seconds.
+
+    Attributes:
+        failed: Time of the last failed connect, by upstream, since the last
+            successful connect to any upstream of the service.
+        reconnected: Upstreams that accepted a connection while the service
+            was unreached, since the last failed connect.
+        returns: Times at which the service was reached again.
+        latest: Whether the last connect succeeded, by upstream.
+        failing_since: Time of the first of the `failed` connects, or None.
+        unreached_since: Time since which the service is unreached, or None.
+        connected_at: Time of the last successful connect, or None.
+        replied_at: Time of the last reply, or None.
+    """
+
+    __slots__ = (
+        "failed",
+        "reconnected",
+        "returns",
+        "latest",
+        "failing_since",
+        "unreached_since",
+        "connected_at",
+        "replied_at",
+    )
+
+    def __init__(self) -> None:
+        self.failed: dict[str, float] = {}
+        self.reconnected: set[str] = set()
+        self.returns: collections.deque[float] = collections.deque()
+        self.latest: dict[str, bool] = {}
+        self.failing_since: float | None = None
+        self.unreached_since: float | None = None
+        self.connected_at: float | None = None
+        self.replied_at: float | None = None
+
+    @property
+    def is_unreached(self) -> bool:
+        """Whether no upstream of the service seems to be within reach."""
+        return self.unreached_since is not None
+
+    @property
+    def failing_count(self) -> int:
+        """Number of upstreams to which the last connect failed."""
+        return sum(not succeeded for succeeded in self.latest.values())
+
+    def record_connect_failed(
+        self, upstream: str, upstream_count: int, now: float
+    ) -> bool:
+        """Records a failed connect; returns whether the reach was lost by it.
+
+        Args:
+            upstream: Id of the upstream.
+            upstream_count: Number of upstreams of the service.
+            now: Time in seconds.
+        """
+        self.latest[upstream] = False
+        self.reconnected.clear()
+        self._drop_old(now)
+        self.failed[upstream] = now
+        if self.failing_since is None:
+            self.failing_since = now
+        required = min(UNREACHED_COUNT, upstream_count)
+        if self.is_unreached or len(self.failed) < required:
+            return False
+        self.unreached_since = now
+        return True
+
+    def _drop_old(self, now: float) -> None:
+        """Drops failures that are no evidence any more."""
+        if self.is_unreached:
+            return
+        oldest = now - EVIDENCE_SECONDS
+        self.failed = {u: at for u, at in self.failed.items() if at >= oldest}
+        self.failing_since = min(self.failed.values(), default=None)
+
+    def record_connected(
+        self, upstream: str, upstream_count: int, now: float
+    ) -> bool:
+        """Records a successful connect; returns whether it restored the reach.
+
+        Args:
+            upstream: Id of the upstream.
+            upstream_count: Number of upstreams of the service.
+            now: Time in seconds.
+        """
+        self.latest[upstream] = True
+        self.connected_at = now
+        if self.is_unreached:
+            self.reconnected.add(upstream)
+            required = min(self._return_count(now), upstream_count)
+            if len(self.reconnected) < required:
+                return False
+            self.returns.append(now)
+        restored = self.is_unreached
+        self.unreached_since = None
+        self.failing_since = None
+        self.failed.clear()
+        self.reconnected.clear()
+        return restored
+
+    def _return_count(self, now: float) -> int:
+        """Returns the number of upstreams that must accept a connection."""
+        while self.returns and self.returns[0] < now - FLAP_SECONDS:
+            self.returns.popleft()
+        return min(1 + len(self.returns), MAX_RETURN_COUNT)
+
+    def record_reply(self, now: float) -> None:
+        """Records that a reply of an upstream arrived."""
+        self.replied_at = now
+
+    def has_live_connections(self, now: float) -> bool:
+        """Returns whether kept connections seem to work.
+
+        They do while replies go on arriving after connects began to fail.
+        """
+        if self.replied_at is None or self.failing_since is None:
+            return False
+        is_later = self.replied_at > self.failing_since
+        return is_later and now - self.replied_at <= LIVE_SECONDS
+
+    def retain(self, upstreams: Container[str]) -> None:
+        """Forgets all other upstreams."""
+        self.latest = {u: s for u, s in self.latest.items() if u in upstreams}
+        self.reconnected = {u for u in self.reconnected if u in upstreams}
--- a/src/pollenseam/sessions.py
+++ b/src/pollenseam/sessions.py
@@ -102,6 +102,7 @@
 def open_session(
     connect_seconds: float = CONNECT_SECONDS,
     keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+    trace_config: aiohttp.TraceConfig | None = None,
 ) -> aiohttp.ClientSession:
     """Returns a client session that leaves requests and responses unchanged.
 
@@ -112,6 +113,7 @@
     Args:
         connect_seconds: Timeout for connecting, in seconds.
         keep_alive_seconds: Time for which an idle connection is kept open.
+        trace_config: Receives the session's events, if given.
     """
     connector = aiohttp.TCPConnector(
         limit=0,
@@ -133,6 +135,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_seconds),
         read_bufsize=CHUNK_BYTES,
         trust_env=False,
+        trace_configs=None if trace_config is None else [trace_config],
     )
     factory: Any = connector._factory
     connector._factory = _handler_factory(factory)
