--- a/tests/machines.py
+++ b/tests/machines.py
@@ -49,6 +49,8 @@
         self.folder.mkdir()
         self.process = None
         self.is_first_start = True
+        self.program = ROOT / "platform" / "program.py"
+        self.environment = {}
 
     def write_settings(self):
         seeds = ",".join(f"{seed_ip}:7101" for seed_ip in self.cluster.seeds)
@@ -61,7 +63,7 @@
             "listen.ready_addr": f"{self.ip}:7105",
             "listen.control": f"{self.ip}:7101",
             "listen.directory": f"{self.ip}:7102",
-            "internal_port_range": "7103,7103",
+            "internal_port_range": "7113,7116",
             "seeds": seeds,
             "bootstrap": str(self.is_first_start).lower(),
             "heartbeat_s": str(HEARTBEAT_SECONDS),
@@ -81,13 +83,14 @@
         log = (self.folder / "log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(ROOT / "platform" / "program.py"),
+            str(self.program),
             self.role,
             "7106",
             stdout=log,
             stderr=log,
             env={
                 **os.environ,
+                **self.environment,
                 "POLLENSEAM_SETTINGS": str(self.folder / "settings"),
             },
         )
@@ -260,8 +263,11 @@
         for server in self.servers:
             await server.runner.cleanup()
 
+    def create_server(self, id, **options):
+        return StubServer(self, id, **options)
+
     async def add_server(self, id, **options):
-        server = StubServer(self, id, **options)
+        server = self.create_server(id, **options)
         await server.start()
         self.servers.append(server)
         await self.wait_until(
