RECOVER: an entry VM that reaches no upstream has calls sent by another one

Callers of entry VMs that were cut off from all upstreams got 503 for nearly every call (3 of 247 served, the others 567 of 576), held for up to three connects of 0.3 s. Cause: a VM sent a call to upstreams itself or refused it, and judged each upstream alone; nothing in it said "it is me", and there was no way around.

- relaying.py, relayhelper.py, relaymessages.py: the call goes to another entry VM (gRPC method Relay, second internal port, address in the directory record), which sends it to one upstream at most and answers with the reply or a typed refusal.
Key, rate, retries and their one budget, attempts and the deadline stay with the VM that read the request.
A Relay call that may have been received and breaks counts as one that may have run.

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -186,6 +186,7 @@
         regions: Regions that may serve the call; all when empty.
         priority: Priority of the call; 0 is the highest.
         tried: Ids of upstreams that must not receive the call again.
+        received_by: Ids of those of them that have, or may have, received it.
         deliveries: Attempts that reached an upstream.
         executions: Attempts that an upstream may have executed.
         connect_failures: Attempts that failed to connect.
@@ -197,6 +198,9 @@
         max_runs: Number of upstreams that may run the call.
         connection: Kind of connection that the last attempt used, see
             `connects`.
+        needs_helper: Whether a connection would have had to be opened although
+            this VM reaches no upstream.
+        is_helpless: Whether no other VM could send the call.
     """
 
     __slots__ = (
@@ -216,6 +220,9 @@
         "is_risky",
         "max_runs",
         "connection",
+        "received_by",
+        "needs_helper",
+        "is_helpless",
         "_fingerprint",
     )
 
@@ -237,6 +244,7 @@
         self.regions = regions
         self.priority = priority
         self.tried: set[str] = set()
+        self.received_by: set[str] = set()
         self.deliveries = 0
         self.executions = 0
         self.connect_failures = 0
@@ -245,6 +253,8 @@
         self.is_risky = False
         self.max_runs = named_route.route.max_attempts
         self.connection = connects.NONE
+        self.needs_helper = False
+        self.is_helpless = False
         self._fingerprint = b""
 
     @property
@@ -287,6 +297,10 @@
         """Returns whether the call may be sent to another upstream."""
         if self.connect_failures >= MAX_CONNECT_FAILURES:
             return False
+        return self.may_run_again()
+
+    def may_run_again(self) -> bool:
+        """Returns whether another upstream may run the call."""
         if self.executions and not self.named_route.route.is_idempotent:
             return False
         return self.executions < self.max_runs
--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -22,6 +22,8 @@
         region: Region of the VM.
         failure_domain: Failure domain of the VM.
         is_serving: Whether callers should send requests to the VM.
+        relay_address: IP:PORT at which the VM sends calls of other VMs, or "".
+        is_cut_off: Whether other VMs reach upstreams that the VM does not.
     """
 
     name: str
@@ -30,6 +32,8 @@
     region: str
     failure_domain: str
     is_serving: bool
+    relay_address: str = ""
+    is_cut_off: bool = False
 
 
 class ControlVm(msgspec.Struct, array_like=True):
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -17,8 +17,8 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
-from pollenseam import reachwatch
 from pollenseam import registry
+from pollenseam import relaying
 from pollenseam import replybuffers
 from pollenseam import retries
 from pollenseam import sessions
@@ -31,6 +31,10 @@
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
 MIN_RETRY_AFTER_SECONDS = 0.05
+# Retry-After where another VM may serve at once.
+ELSEWHERE_SECONDS = 0.05
+# Failed connects after which another VM is asked to send the call.
+MAX_OWN_CONNECT_FAILURES = 2
 # Retry-After while no upstream is known to accept requests soon.
 NO_UPSTREAM_SECONDS = 1.0
 # Errors that a connection raises when the upstream ends.
@@ -65,6 +69,7 @@
         watchlist: Requests that may crash upstreams.
         crash_watch: Finds out which upstreams ended with requests of this VM.
         reach_watch: Follows which services this VM reaches.
+        relayer: Has calls sent by other VMs.
         session: HTTP client session for all upstreams.
     """
 
@@ -79,7 +84,7 @@
         stated_limits: statedlimits.Table,
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
-        reach_watch: reachwatch.ReachWatch,
+        relayer: relaying.Relayer,
     ) -> None:
         self.protocol = protocol
         self.log = log
@@ -94,7 +99,8 @@
         self.stated_limits = stated_limits
         self.watchlist = watchlist
         self.crash_watch = crash_watch
-        self.reach_watch = reach_watch
+        self.reach_watch = relayer.reach_watch
+        self.relayer = relayer
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS, connects.trace_config()
         )
@@ -118,22 +124,125 @@
         self._budget(active_call.service).record_request(self.now())
         while True:
             try:
-                choice = self._choose(active_call)
+                choice = self._choose_way(active_call)
             except errors.RefusedError:
                 if active_call.reply is not None:
                     return active_call.reply
                 raise
-            upstream = choice.upstream
-            active_call.tried.add(upstream.record.id)
-            pending = upstream.begin(
-                choice.expected_seconds, self.now(), active_call.is_risky
-            )
-            try:
-                reply = await self._attempt(active_call, choice)
-            finally:
-                upstream.end(pending)
+            if choice is None:
+                reply = await self._relay(active_call)
+            else:
+                reply = await self._send(active_call, choice)
+            if reply is not None:
+                return reply
+
+    async def deliver(
+        self, active_call: calls.ActiveCall
+    ) -> calls.Reply | None:
+        """Sends a call of another VM until one upstream has received it.
+
+        Returns:
+            The reply, or None if the upstream gave no valid one.
+
+        Raises:
+            RefusedError: No upstream has received the call, or none replied in
+                time.
+        """
+        self._check_crashes(active_call)
+        while not active_call.deliveries:
+            if active_call.needs_helper or self._is_out_of_reach(active_call):
+                active_call.needs_helper = True
+                raise errors.refuse(
+                    errors.Kind.NO_ROOM, "this VM reaches no upstream"
+                )
+            choice = self._choose(active_call)
+            reply = await self._send(active_call, choice)
             if reply is not None:
                 return reply
+        return None
+
+    def _choose_way(
+        self, active_call: calls.ActiveCall
+    ) -> steering.Choice | None:
+        """Returns the upstream for a call; None if another VM is to send it.
+
+        Raises:
+            RefusedError: The call must not be sent again, or no upstream has
+                room.
+        """
+        if not self._needs_helper(active_call):
+            return self._choose(active_call)
+        now = self.now()
+        if active_call.refusal is not None and not self._may_run_again(
+            active_call, now
+        ):
+            raise errors.RefusedError(active_call.refusal)
+        self._spend_retry(active_call, now)
+        return None
+
+    def _needs_helper(self, active_call: calls.ActiveCall) -> bool:
+        if active_call.is_helpless:
+            return False
+        return (
+            active_call.needs_helper
+            or active_call.connect_failures >= MAX_OWN_CONNECT_FAILURES
+            or self._is_out_of_reach(active_call)
+        )
+
+    def _is_out_of_reach(self, active_call: calls.ActiveCall) -> bool:
+        """Returns whether this VM seems to have no way to any upstream."""
+        reach = self.reach_watch.services.get(active_call.service)
+        if reach is None or not reach.is_unreached:
+            return False
+        return not reach.has_live_connections(self.now())
+
+    async def _relay(self, active_call: calls.ActiveCall) -> calls.Reply | None:
+        """Has a call sent by another VM.
+
+        Returns:
+            The reply, or None if the call may be sent again.
+
+        Raises:
+            RefusedError: The call was refused, or no reply came before the
+                deadline.
+        """
+        try:
+            response = await self.relayer.send(active_call)
+        except relaying.NoHelpError as error:
+            return self._go_on_alone(active_call, error)
+        return relaying.apply(active_call, response) or self._evaluate_failure(
+            active_call
+        )
+
+    def _go_on_alone(
+        self, active_call: calls.ActiveCall, error: relaying.NoHelpError
+    ) -> calls.Reply | None:
+        """Goes on with a call that no other VM can send."""
+        if active_call.reply is not None:
+            return active_call.reply
+        active_call.is_helpless = True
+        reach = self.reach_watch.reach(active_call.service)
+        if not reach.is_unreached:
+            return None
+        raise self._final_refusal(
+            active_call,
+            f"this VM reaches no upstream of the service; {error}",
+            NO_UPSTREAM_SECONDS if error.is_unreached else ELSEWHERE_SECONDS,
+        )
+
+    async def _send(
+        self, active_call: calls.ActiveCall, choice: steering.Choice
+    ) -> calls.Reply | None:
+        """Sends a call to one upstream; see `_attempt`."""
+        upstream = choice.upstream
+        active_call.tried.add(upstream.record.id)
+        pending = upstream.begin(
+            choice.expected_seconds, self.now(), active_call.is_risky
+        )
+        try:
+            return await self._attempt(active_call, choice)
+        finally:
+            upstream.end(pending)
 
     def _check_crashes(self, active_call: calls.ActiveCall) -> None:
         """Refuses a blocked call, and sends a suspect one with care."""
@@ -185,16 +294,23 @@
             raise self._final_refusal(
                 active_call, why, choice.excess_wait_seconds
             )
+        self._spend_retry(active_call, now)
+        return choice
+
+    def _spend_retry(self, active_call: calls.ActiveCall, now: float) -> None:
+        """Takes a retry from the budget if the call was sent before."""
         if active_call.deliveries and not self._budget(
             active_call.service
         ).try_spend(self.vm_count, now):
             raise self._final_refusal(
                 active_call, "the retry budget is exhausted", 0.5
             )
-        return choice
 
     def _may_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
-        if not active_call.may_retry():
+        return active_call.may_retry() and self._may_run_again(active_call, now)
+
+    def _may_run_again(self, active_call: calls.ActiveCall, now: float) -> bool:
+        if not active_call.may_run_again():
             return False
         if not active_call.is_risky:
             return True
@@ -254,6 +370,7 @@
         upstream = choice.upstream
         started = self.now()
         response = None
+        active_call.received_by.add(upstream.record.id)
         try:
             async with asyncio.timeout_at(
                 vm.loop_deadline(active_call.deadline)
@@ -262,10 +379,15 @@
                 return await self._read_reply(
                     active_call, choice, response, started
                 )
+        except connects.PreventedError:
+            active_call.received_by.discard(upstream.record.id)
+            active_call.needs_helper = True
+            return None
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
+            active_call.received_by.discard(upstream.record.id)
             upstream.record_unreachable(self.now())
             active_call.connect_failures += 1
             self._record_connect_failed(active_call, upstream, error)
@@ -375,7 +497,16 @@
         upstream: upstreamstats.UpstreamStats,
         kind: str,
     ) -> None:
-        """Records the connection that a call has got to an upstream."""
+        """Records the connection that a call gets to an upstream.
+
+        Raises:
+            PreventedError: This VM reaches no upstream, so that a connection
+                would only cost time.
+        """
+        if kind == connects.OPENING:
+            if self.reach_watch.reach(active_call.service).is_unreached:
+                raise connects.PreventedError
+            return
         active_call.connection = kind
         if kind == connects.NEW:
             self.reach_watch.record_connected(
@@ -498,6 +629,16 @@
             active_call, upstream, "failed", started, str(reply.status)
         )
         active_call.reply = reply
+        return self._evaluate_failure(active_call)
+
+    def _evaluate_failure(
+        self, active_call: calls.ActiveCall
+    ) -> calls.Reply | None:
+        """Returns the last reply unless the call may be sent again."""
+        reply = active_call.reply
+        if reply is None:
+            return None
+        now = self.now()
         may_retry = active_call.may_retry() and now < active_call.deadline
         if not may_retry or not self._can_retry(active_call, now):
             return reply
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -12,6 +12,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import freshness
+from pollenseam import helpers
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import metrics
@@ -20,6 +21,9 @@
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import registrysync
+from pollenseam import relayhelper
+from pollenseam import relaying
+from pollenseam import relaymessages
 from pollenseam import routing
 from pollenseam import shares
 from pollenseam import steering
@@ -61,6 +65,8 @@
         retry_window_seconds: Length of the retry budget's window.
         tolerance: How far all entry VMs together may exceed a workspace's
             rate.
+        relay_address: IP:PORT at which this VM sends calls of other entry VMs,
+            or "" if it doesn't.
     """
 
     __slots__ = (
@@ -75,6 +81,7 @@
         "retry_slack",
         "retry_window_seconds",
         "tolerance",
+        "relay_address",
     )
 
     def __init__(
@@ -90,6 +97,7 @@
         retry_slack: float,
         retry_window_seconds: float,
         tolerance: leases.Tolerance,
+        relay_address: str = "",
     ) -> None:
         self.name = name
         self.region = region
@@ -102,6 +110,7 @@
         self.retry_slack = retry_slack
         self.retry_window_seconds = retry_window_seconds
         self.tolerance = tolerance
+        self.relay_address = relay_address
 
 
 class EntryVm:
@@ -123,6 +132,10 @@
         exchange: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
         reach_watch: Follows which services this VM reaches.
+        relayer: Has calls sent by other entry VMs.
+        relay_helper: Sends calls of other entry VMs.
+        relay_server: Receives calls of other entry VMs.
+        has_relay_server: Whether the server runs.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
         stop_deadline: Time in seconds at which this VM stops; infinite unless
@@ -155,8 +168,9 @@
         )
         self.metrics = metrics.EntryMetrics()
         self.reach_watch = reachwatch.ReachWatch(
-            log, self.now, self.metrics.connects
+            log, self.now, self.metrics.connects, self._upstream_addresses
         )
+        self.relayer = self._create_relayer()
         self.dispatcher = dispatcher.Dispatcher(
             protocol,
             log,
@@ -167,8 +181,15 @@
             self.exchange.stated_limits,
             self.exchange.watchlist,
             crashwatch.CrashWatch(log, self.now, self._record_crash),
-            self.reach_watch,
+            self.relayer,
+        )
+        self.relay_helper = relayhelper.RelayHelper(
+            self.dispatcher, self.pools, self.now, self._lends_until
         )
+        self.relay_server = peers.Server(
+            log.clock, peer_client.traffic, log=log
+        )
+        self.has_relay_server = False
         self.is_leaving = False
         self.stop_deadline = float("inf")
         self.in_flight = 0
@@ -176,13 +197,53 @@
         self._tasks = tasks.Group(log)
         self._was_fresh = False
 
+    def _create_relayer(self) -> relaying.Relayer:
+        client = peers.Client(
+            self.log.clock,
+            self.peers.credentials,
+            self.log,
+            relaying.CHANNEL_OPTIONS,
+        )
+        client.traffic = self.peers.traffic
+        return relaying.Relayer(
+            self.log,
+            self.now,
+            client,
+            helpers.Helpers(self.settings.name, self.settings.region),
+            self.reach_watch,
+            self.metrics.relays,
+        )
+
+    def _upstream_addresses(self, service: str) -> dict[str, str]:
+        pool = self.pools.get(service)
+        upstreams = pool.upstreams if pool is not None else {}
+        return {id: u.record.address for id, u in upstreams.items()}
+
+    def _lends_until(self) -> float:
+        """Returns the time by which calls of other VMs must end."""
+        return self.stop_deadline if self.is_ready else 0.0
+
     # Start and stop.
 
     async def start(self) -> None:
-        """Starts to follow the registry and to lease rate shares."""
+        """Starts to follow the registry, to lease shares and to help."""
+        await self._start_helping()
         self._tasks.spawn(self._watch())
         self._tasks.spawn(self.shares.run())
 
+    async def _start_helping(self) -> None:
+        """Starts to send calls of other entry VMs, if that is possible."""
+        address = self.settings.relay_address
+        if not address:
+            return
+        self.relay_server.handle(relaymessages.RELAY, self.relay_helper.handle)
+        try:
+            await self.relay_server.start(address)
+        except errors.FlagError as error:
+            self.log.emit("helping-unavailable", why=str(error))
+            return
+        self.has_relay_server = True
+
     async def leave(self, stop_deadline: float) -> None:
         """Reports to the leader that callers should use other entry VMs.
 
@@ -197,6 +258,12 @@
     async def stop(self) -> None:
         """Stops all tasks, returns the shares and closes all connections."""
         self._tasks.cancel()
+        self.reach_watch.close()
+        if self.has_relay_server:
+            left_seconds = self.stop_deadline - self.now()
+            grace = max(0.0, left_seconds) if self.is_leaving else 0.0
+            await self.relay_server.stop(grace)
+        await self.relayer.peers.close()
         await self.shares.release()
         await self.dispatcher.close()
         await self.peers.close()
@@ -217,6 +284,8 @@
             settings.region,
             settings.failure_domain,
             self.is_ready and not self.is_leaving,
+            settings.relay_address if self.has_relay_server else "",
+            self.reach_watch.is_cut_off,
         )
 
     @property
@@ -240,6 +309,7 @@
                 )
                 await asyncio.sleep(RETRY_SECONDS)
             self._log_freshness()
+            await self.relayer.close_idle()
 
     def _choose_source(self) -> str:
         """Returns the address of the nearest control VM not in back-off.
@@ -303,6 +373,7 @@
             if response.directory.version > self.directory.version:
                 self.directory = response.directory
                 self.dispatcher.vm_count = max(1, len(self.directory.entries))
+                self.relayer.helpers.update(self.directory.entries)
                 self._divide_cold_rates()
         if response.page is None:
             return
@@ -524,6 +595,7 @@
         exposition = self.metrics.expose(
             {
                 "in_flight": self.in_flight,
+                "lent_calls": self.relay_helper.lent_calls,
                 "is_ready": self.is_ready,
                 "is_leaving": self.is_leaving,
                 "settings_index": self.registry.index,
--- a/src/pollenseam/errors.py
+++ b/src/pollenseam/errors.py
@@ -144,7 +144,15 @@
 
 
 class UnreachableError(PollenseamError):
-    """No valid answer came in time; the outcome of a change is unknown."""
+    """No valid answer came in time; the outcome of a change is unknown.
+
+    Attributes:
+        outcome: gRPC status in lower case, or "" if there is none.
+    """
+
+    def __init__(self, detail: str, outcome: str = "") -> None:
+        super().__init__(detail)
+        self.outcome = outcome
 
 
 def refuse(
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -116,6 +116,7 @@
             kind.
         attempts: Requests sent to upstreams, by service and outcome.
         connects: Connections to upstreams, by service and outcome.
+        relays: Calls given to other VMs, by service and outcome.
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
         apply_latencies: Time to put a change of the registry in force, by
@@ -127,6 +128,7 @@
         "workspaces",
         "attempts",
         "connects",
+        "relays",
         "latencies",
         "refusal_latencies",
         "apply_latencies",
@@ -137,6 +139,7 @@
         self.workspaces = Counter("workspace_total", "workspace", "outcome")
         self.attempts = Counter("tries_total", "service", "outcome")
         self.connects = Counter("connects_total", "service", "outcome")
+        self.relays = Counter("relays_total", "service", "outcome")
         self.latencies = Summary("latency_seconds", "route")
         self.refusal_latencies = Summary("refusal_held_seconds", "kind")
         self.apply_latencies = Summary("registry_apply_seconds", "content")
@@ -149,6 +152,7 @@
         """
         counters = (
             self.connects,
+            self.relays,
             self.attempts,
             self.answers,
             self.workspaces,
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -47,6 +47,9 @@
     ("grpc.so_reuseport", 0),
 )
 
+# Channel options, of which others replace some.
+Options = tuple[tuple[str, int], ...]
+
 Decode = Callable[[bytes], Any]
 Handler = Callable[[Any], Awaitable[msgspec.Struct]]
 
@@ -123,6 +126,7 @@
         traffic: Counts of bytes and calls.
         credentials: Credentials for mutual TLS, or None for plain text.
         log: Event log, or None.
+        options: Channel options that replace those of CHANNEL_OPTIONS.
     """
 
     def __init__(
@@ -130,9 +134,11 @@
         clock: events.LogicalClock,
         credentials: Credentials | None = None,
         log: events.EventLog | None = None,
+        options: Options = (),
     ) -> None:
         self.clock = clock
         self.log = log
+        self.options = tuple((dict(CHANNEL_OPTIONS) | dict(options)).items())
         self.traffic = traffic.Traffic()
         self.credentials = credentials
         self._channels: dict[str, grpc.aio.Channel] = {}
@@ -225,7 +231,7 @@
     ) -> errors.UnreachableError:
         """Records a failed call; returns the error to raise."""
         self._record_call(method, outcome, time.monotonic() - started_at)
-        return errors.UnreachableError(f"{address}: {outcome}")
+        return errors.UnreachableError(f"{address}: {outcome}", outcome)
 
     def _accept(
         self, address: str, method: Method, raw: bytes, started_at: float
@@ -316,13 +322,39 @@
 
     def _open_channel(self, address: str) -> grpc.aio.Channel:
         if self.credentials is None:
-            return grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
+            return grpc.aio.insecure_channel(address, self.options)
         credentials = grpc.ssl_channel_credentials(
             self.credentials.authority,
             self.credentials.key,
             self.credentials.certificate,
         )
-        return grpc.aio.secure_channel(address, credentials, CHANNEL_OPTIONS)
+        return grpc.aio.secure_channel(address, credentials, self.options)
+
+    async def connect(self, address: str, timeout_seconds: float) -> bool:
+        """Returns whether there is a connection; opens one if there is none.
+
+        Args:
+            address: Address of the process to call.
+            timeout_seconds: Time to wait for a new connection.
+        """
+        channel = self._channel(address)
+        state = channel.get_state(try_to_connect=True)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                while state is not grpc.ChannelConnectivity.READY:
+                    if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                        return False
+                    await channel.wait_for_state_change(state)
+                    state = channel.get_state(try_to_connect=True)
+        except TimeoutError:
+            return False
+        return True
+
+    async def disconnect(self, address: str) -> None:
+        """Closes the connection to a process, if there is one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
 
     async def replace_credentials(self, credentials: Credentials) -> None:
         """Uses new credentials for all further calls.
--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -20,6 +20,10 @@
 # connection before the next return.
 FLAP_SECONDS = 10.0
 MAX_RETURN_COUNT = 4
+# A VM calls itself cut off from a service after this time, and for this long
+# after it reached the service again.
+CUT_OFF_SECONDS = 0.5
+HOLD_SECONDS = 1.0
 
 
 class ServiceReach:
@@ -38,6 +42,10 @@
         unreached_since: Time since which the service is unreached, or None.
         connected_at: Time of the last successful connect, or None.
         replied_at: Time of the last reply, or None.
+        helped_at: Time at which another VM last reached the service for this
+            one, or None.
+        cut_off_until: Time until which this VM counts as cut off although it
+            reaches the service again.
     """
 
     __slots__ = (
@@ -49,6 +57,8 @@
         "unreached_since",
         "connected_at",
         "replied_at",
+        "helped_at",
+        "cut_off_until",
     )
 
     def __init__(self) -> None:
@@ -60,6 +70,8 @@
         self.unreached_since: float | None = None
         self.connected_at: float | None = None
         self.replied_at: float | None = None
+        self.helped_at: float | None = None
+        self.cut_off_until = 0.0
 
     @property
     def is_unreached(self) -> bool:
@@ -119,6 +131,8 @@
             if len(self.reconnected) < required:
                 return False
             self.returns.append(now)
+        if self.is_cut_off(now):
+            self.cut_off_until = now + HOLD_SECONDS
         restored = self.is_unreached
         self.unreached_since = None
         self.failing_since = None
@@ -136,6 +150,24 @@
         """Records that a reply of an upstream arrived."""
         self.replied_at = now
 
+    def record_help(self, now: float) -> None:
+        """Records that another VM reached the service for this one."""
+        self.helped_at = now
+
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether other VMs reach the service and this one does not.
+
+        A service that no VM reaches is down, and no reason to send callers
+        elsewhere.
+        """
+        if self.unreached_since is None:
+            return now < self.cut_off_until
+        is_helped = (
+            self.helped_at is not None
+            and self.helped_at >= self.unreached_since
+        )
+        return is_helped and now - self.unreached_since >= CUT_OFF_SECONDS
+
     def has_live_connections(self, now: float) -> bool:
         """Returns whether kept connections seem to work.
 
--- /dev/null
+++ b/src/pollenseam/relaying.py
@@ -0,0 +1,296 @@
+"""Has a call sent by another entry VM, its helper.
+
+The helper chooses the upstream and sends the call to one of them at most. All
+else stays with this VM: the caller's key and rate, retries and their budget,
+the deadline and the answer.
+"""
+
+from collections.abc import Callable
+
+from pollenseam import calls
+from pollenseam import controlmessages
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import helpers
+from pollenseam import metrics
+from pollenseam import peers
+from pollenseam import reachwatch
+from pollenseam import relaymessages
+
+CONNECT_SECONDS = 0.3
+# Helpers that are asked for one attempt.
+MAX_ASKED = 3
+# Body above which a call is not given to a helper.
+MAX_BODY_BYTES = 1024 * 1024
+# A connection to a helper is closed when it was not used for this long.
+IDLE_SECONDS = 10.0
+# gRPC gives up a connect after the "minimum backoff"; between regions it takes
+# longer than the default.
+CHANNEL_OPTIONS = (("grpc.min_reconnect_backoff_ms", 1000),)
+# gRPC statuses of calls that the helper's handler has not received.
+NOT_RECEIVED = ("unimplemented", "invalid_argument")
+
+
+class NoHelpError(errors.PollenseamError):
+    """No helper can send the call; it was not executed.
+
+    Attributes:
+        is_unreached: Whether the helpers that were asked do not reach the
+            service either.
+    """
+
+    def __init__(self, detail: str, is_unreached: bool) -> None:
+        super().__init__(detail)
+        self.is_unreached = is_unreached
+
+
+class Relayer:
+    """Has calls sent by helpers.
+
+    Attributes:
+        log: Event log.
+        now: Returns the time since boot in seconds.
+        peers: Client for calls to other VMs.
+        helpers: The entry VMs that may help.
+        reach_watch: Follows which services this VM reaches.
+        relays: Counts calls given to helpers, by service and outcome.
+        used_at: Time of the last use of a connection, by helper's address.
+    """
+
+    def __init__(
+        self,
+        log: events.EventLog,
+        now: Callable[[], float],
+        peer_client: peers.Client,
+        known_helpers: helpers.Helpers,
+        reach_watch: reachwatch.ReachWatch,
+        relays: metrics.Counter,
+    ) -> None:
+        self.log = log
+        self.now = now
+        self.peers = peer_client
+        self.helpers = known_helpers
+        self.reach_watch = reach_watch
+        self.relays = relays
+        self.used_at: dict[str, float] = {}
+
+    async def close_idle(self) -> None:
+        """Closes connections to helpers that were not used for a while."""
+        oldest = self.now() - IDLE_SECONDS
+        for address in [a for a, at in self.used_at.items() if at < oldest]:
+            del self.used_at[address]
+            await self.peers.disconnect(address)
+
+    async def send(
+        self, active_call: calls.ActiveCall
+    ) -> relaymessages.RelayResponse | None:
+        """Has a call sent to one upstream by a helper.
+
+        Returns:
+            The helper's response, or None if the call may have been executed
+            and its outcome is unknown.
+
+        Raises:
+            NoHelpError: No helper sends the call; it was not executed.
+            RefusedError: No answer came before the deadline.
+        """
+        service = active_call.service
+        if self.helpers.is_paused(service, self.now()):
+            raise NoHelpError("no VM was found that reaches the service", True)
+        if len(active_call.call.body) > MAX_BODY_BYTES:
+            raise NoHelpError("the body is too large to be relayed", False)
+        asked: set[str] = set()
+        unreached_count = 0
+        while len(asked) < MAX_ASKED:
+            helper = self.helpers.choose(
+                service,
+                active_call.regions,
+                asked,
+                len(asked) == MAX_ASKED - 1,
+                self.now(),
+            )
+            if helper is None:
+                break
+            asked.add(helper.name)
+            response = await self._ask(active_call, helper)
+            if response is None:
+                return None
+            if response.outcome not in relaymessages.NOT_SENT_OUTCOMES:
+                if response.upstream:
+                    self._record_help(service)
+                return response
+            unreached_count += response.outcome == relaymessages.NOT_REACHED
+        is_unreached = 0 < unreached_count == len(asked)
+        if is_unreached:
+            self.helpers.record_no_help(service, self.now())
+        raise NoHelpError(
+            f"no other VM sends the call: {len(asked)} asked, "
+            f"{unreached_count} do not reach the service",
+            is_unreached,
+        )
+
+    def _record_help(self, service: str) -> None:
+        """Records that a helper reached a service."""
+        self.helpers.record_help(service)
+        self.reach_watch.reach(service).record_help(self.now())
+
+    async def _ask(
+        self, active_call: calls.ActiveCall, helper: controlmessages.EntryVm
+    ) -> relaymessages.RelayResponse | None:
+        """Gives a call to one helper.
+
+        Returns:
+            The response, also for a helper that cannot be asked; None if the
+            call may have been executed.
+        """
+        started_at = self.now()
+        left_seconds = active_call.deadline - started_at
+        self.used_at[helper.relay_address] = started_at
+        self.helpers.begin(helper.name)
+        outcome = "cancelled"
+        try:
+            response = await self._call(active_call, helper, left_seconds)
+            outcome = "broken" if response is None else response.outcome
+        except errors.RefusedError:
+            outcome = "no-answer-in-time"
+            raise
+        finally:
+            self.helpers.end(helper.name)
+            self._learn(active_call.service, helper.name, outcome)
+            self._record(active_call, helper, outcome, started_at)
+        return response
+
+    async def _call(
+        self,
+        active_call: calls.ActiveCall,
+        helper: controlmessages.EntryVm,
+        left_seconds: float,
+    ) -> relaymessages.RelayResponse | None:
+        address = helper.relay_address
+        if not await self.peers.connect(
+            address, min(CONNECT_SECONDS, left_seconds)
+        ):
+            self.helpers.avoid(
+                helper.name, helpers.UNCONNECTED_SECONDS, self.now()
+            )
+            return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
+        left_seconds = active_call.deadline - self.now()
+        if left_seconds <= 0:
+            return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
+        self.log.emit_often(
+            "relaying",
+            request=active_call.call.id,
+            service=active_call.service,
+            helper=helper.name,
+            left_seconds=left_seconds,
+        )
+        request = relaymessages.from_active_call(active_call, left_seconds)
+        try:
+            response: relaymessages.RelayResponse = await self.peers.call(
+                address, relaymessages.RELAY, request, left_seconds
+            )
+        except errors.UnreachableError as error:
+            if error.outcome in NOT_RECEIVED:
+                return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
+            if error.outcome == "deadline_exceeded":
+                raise errors.refuse(
+                    errors.Kind.DEADLINE,
+                    "no reply came in time through another VM",
+                    "unknown",
+                ) from error
+            return None
+        return response
+
+    def _learn(self, service: str, name: str, outcome: str) -> None:
+        """Remembers what the outcome of a call says about its helper."""
+        now = self.now()
+        if outcome == relaymessages.NOT_REACHED:
+            self.helpers.avoid(name, helpers.NOT_REACHED_SECONDS, now, service)
+        elif outcome == relaymessages.NO_CAPACITY:
+            if not self.helpers.is_avoided(name, now):
+                self.helpers.avoid(name, helpers.NO_CAPACITY_SECONDS, now)
+        elif outcome in ("broken", "no-answer-in-time"):
+            self.helpers.avoid(name, helpers.BROKEN_SECONDS, now)
+
+    def _record(
+        self,
+        active_call: calls.ActiveCall,
+        helper: controlmessages.EntryVm,
+        outcome: str,
+        started_at: float,
+    ) -> None:
+        self.relays.add(active_call.service, outcome)
+        self.log.emit_often(
+            "relayed",
+            request=active_call.call.id,
+            service=active_call.service,
+            helper=helper.name,
+            outcome=outcome,
+            seconds=self.now() - started_at,
+            in_flight=self.helpers.in_flight.get(helper.name, 0),
+        )
+
+
+def apply(
+    active_call: calls.ActiveCall,
+    response: relaymessages.RelayResponse | None,
+) -> calls.Reply | None:
+    """Records a helper's response in a call, as if this VM had sent it.
+
+    Args:
+        active_call: The call.
+        response: The response, or None if the outcome is unknown.
+
+    Returns:
+        The reply if it is final; None if the call may be sent again.
+
+    Raises:
+        RefusedError: The call was refused.
+    """
+    if response is None:
+        _record_unknown(active_call, "the connection to another VM broke")
+        return None
+    if response.upstream:
+        active_call.tried.add(response.upstream)
+        active_call.received_by.add(response.upstream)
+    if response.reply is not None:
+        active_call.deliveries += 1
+        active_call.executions += 1
+        reply = relaymessages.to_reply(response.reply)
+        if reply.status < 500:
+            return reply
+        active_call.reply = reply
+        return None
+    _apply_refusal(active_call, response)
+    return None
+
+
+def _apply_refusal(
+    active_call: calls.ActiveCall, response: relaymessages.RelayResponse
+) -> None:
+    if response.refusal is None:
+        _record_unknown(active_call, "another VM gave no valid answer")
+        return
+    refusal = relaymessages.to_refusal(response.refusal)
+    active_call.is_risky |= response.is_risky
+    if response.executions:
+        active_call.deliveries += 1
+        active_call.executions += 1
+        active_call.refusal = refusal
+        if refusal.kind == errors.Kind.DEADLINE:
+            raise errors.RefusedError(refusal)
+        return
+    if not active_call.executions:
+        active_call.refusal = refusal
+    if not response.upstream:
+        raise errors.RefusedError(active_call.refusal or refusal)
+    active_call.deliveries += 1
+
+
+def _record_unknown(active_call: calls.ActiveCall, why: str) -> None:
+    """Records that an upstream may have executed a call."""
+    active_call.deliveries += 1
+    active_call.executions += 1
+    active_call.refusal = errors.Refusal(
+        errors.Kind.UPSTREAM_FAILED, why, "unknown"
+    )
--- a/tests/cuts.py
+++ b/tests/cuts.py
@@ -35,6 +35,7 @@
         self.accepted = {}
         self.released = asyncio.Event()
         self.server = None
+        self.tasks = set()
 
     async def start(self):
         host, _, _ = self.target.rpartition(":")
@@ -42,21 +43,30 @@
         self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
     async def serve(self, reader, writer):
+        self.tasks.add(asyncio.current_task())
+        # The event loop logs a task of a server that ends as cancelled.
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.pass_on(reader, writer)
+        writer.transport.abort()
+
+    async def pass_on(self, reader, writer):
         source = writer.get_extra_info("peername")[0]
         host, _, port = self.target.rpartition(":")
         self.accepted[source] = self.accepted.get(source, 0) + 1
         try:
             up_reader, up_writer = await asyncio.open_connection(host, port)
         except OSError:
-            writer.transport.abort()
             return
         pair = (writer, up_writer)
         self.connections.setdefault(source, set()).add(pair)
-        await asyncio.gather(
-            self.copy(source, reader, up_writer),
-            self.copy(source, up_reader, writer),
-        )
-        self.connections[source].discard(pair)
+        try:
+            await asyncio.gather(
+                self.copy(source, reader, up_writer),
+                self.copy(source, up_reader, writer),
+            )
+        finally:
+            self.connections[source].discard(pair)
+            up_writer.transport.abort()
 
     async def copy(self, source, reader, writer):
         with contextlib.suppress(OSError):
@@ -74,7 +84,7 @@
         self.hanging.add(source)
 
     def reset(self, source):
-        for pair in self.connections.get(source, set()):
+        for pair in list(self.connections.get(source, ())):
             for writer in pair:
                 writer.transport.abort()
 
@@ -84,11 +94,10 @@
         self.released.clear()
 
     async def stop(self):
-        self.hanging.clear()
-        self.released.set()
         self.server.close()
-        for source in self.connections:
-            self.reset(source)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
 class CutServer(machines.StubServer):
