Dispatcher: one attempt at an upstream in a module of its own

Moved only: sending.Sender has the attempt and what is recorded of it; choice, retries and their budget stay in dispatcher.Dispatcher. Tests name the new place of the reply buffers.

--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -441,7 +441,9 @@
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
         self.exchange.stated_limits.retain(self.registry.upstreams)
-        self.dispatcher.crash_watch.record_upstreams(self.registry.upstreams)
+        self.dispatcher.sender.crash_watch.record_upstreams(
+            self.registry.upstreams
+        )
         self._divide_cold_rates()
 
     def _divide_cold_rates(self) -> None:
--- a/tests/test_rogue_upstreams.py
+++ b/tests/test_rogue_upstreams.py
@@ -154,7 +154,7 @@
     upstream = RogueUpstream(*ENDLESS[kind])
     await upstream.listen()
     entry_vm = make_entry_vm(upstream.address)
-    entry_vm.dispatcher.reply_buffers.max_total_bytes = 2 * MAX_REPLY_BYTES
+    entry_vm.dispatcher.sender.reply_buffers.max_total_bytes = 2 * MAX_REPLY_BYTES
     tracemalloc.start()
     try:
         with pytest.raises(errors.RefusedError) as caught:
@@ -216,7 +216,7 @@
     upstream = RogueUpstream(ANSWER + b"\r\n", FILLER, pause_seconds=0.001)
     await upstream.listen()
     entry_vm = make_entry_vm(upstream.address)
-    buffers = entry_vm.dispatcher.reply_buffers
+    buffers = entry_vm.dispatcher.sender.reply_buffers
     buffers.max_total_bytes = 4 * 1024 * 1024
     running = [
         asyncio.create_task(entry_vm.serve(make_call(entry_vm)))
