--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -12,7 +12,6 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import freshness
-from pollenseam import helpers
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import metrics
@@ -23,7 +22,6 @@
 from pollenseam import registrysync
 from pollenseam import relayhelper
 from pollenseam import relaying
-from pollenseam import relaymessages
 from pollenseam import routing
 from pollenseam import shares
 from pollenseam import steering
@@ -134,8 +132,6 @@
         reach_watch: Follows which services this VM reaches.
         relayer: Has calls sent by other entry VMs.
         relay_helper: Sends calls of other entry VMs.
-        relay_server: Receives calls of other entry VMs.
-        has_relay_server: Whether the server runs.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
         stop_deadline: Time in seconds at which this VM stops; infinite unless
@@ -170,7 +166,15 @@
         self.reach_watch = reachwatch.ReachWatch(
             log, self.now, self.metrics.connects, self._upstream_addresses
         )
-        self.relayer = self._create_relayer()
+        self.relayer = relaying.create_relayer(
+            settings.name,
+            settings.region,
+            log,
+            self.now,
+            peer_client,
+            self.reach_watch,
+            self.metrics.relays,
+        )
         self.dispatcher = dispatcher.Dispatcher(
             protocol,
             log,
@@ -184,12 +188,13 @@
             self.relayer,
         )
         self.relay_helper = relayhelper.RelayHelper(
-            self.dispatcher, self.pools, self.now, self._lends_until
-        )
-        self.relay_server = peers.Server(
-            log.clock, peer_client.traffic, log=log
+            self.dispatcher,
+            self.pools,
+            self.now,
+            self._lends_until,
+            peers.Server(log.clock, peer_client.traffic, log=log),
+            log,
         )
-        self.has_relay_server = False
         self.is_leaving = False
         self.stop_deadline = float("inf")
         self.in_flight = 0
@@ -197,23 +202,6 @@
         self._tasks = tasks.Group(log)
         self._was_fresh = False
 
-    def _create_relayer(self) -> relaying.Relayer:
-        client = peers.Client(
-            self.log.clock,
-            self.peers.credentials,
-            self.log,
-            relaying.CHANNEL_OPTIONS,
-        )
-        client.traffic = self.peers.traffic
-        return relaying.Relayer(
-            self.log,
-            self.now,
-            client,
-            helpers.Helpers(self.settings.name, self.settings.region),
-            self.reach_watch,
-            self.metrics.relays,
-        )
-
     def _upstream_addresses(self, service: str) -> dict[str, str]:
         pool = self.pools.get(service)
         upstreams = pool.upstreams if pool is not None else {}
@@ -227,23 +215,10 @@
 
     async def start(self) -> None:
         """Starts to follow the registry, to lease shares and to help."""
-        await self._start_helping()
+        await self.relay_helper.start(self.settings.relay_address)
         self._tasks.spawn(self._watch())
         self._tasks.spawn(self.shares.run())
 
-    async def _start_helping(self) -> None:
-        """Starts to send calls of other entry VMs, if that is possible."""
-        address = self.settings.relay_address
-        if not address:
-            return
-        self.relay_server.handle(relaymessages.RELAY, self.relay_helper.handle)
-        try:
-            await self.relay_server.start(address)
-        except errors.FlagError as error:
-            self.log.emit("helping-unavailable", why=str(error))
-            return
-        self.has_relay_server = True
-
     async def leave(self, stop_deadline: float) -> None:
         """Reports to the leader that callers should use other entry VMs.
 
@@ -259,10 +234,9 @@
         """Stops all tasks, returns the shares and closes all connections."""
         self._tasks.cancel()
         self.reach_watch.close()
-        if self.has_relay_server:
-            left_seconds = self.stop_deadline - self.now()
-            grace = max(0.0, left_seconds) if self.is_leaving else 0.0
-            await self.relay_server.stop(grace)
+        left_seconds = self.stop_deadline - self.now()
+        grace = max(0.0, left_seconds) if self.is_leaving else 0.0
+        await self.relay_helper.stop(grace)
         await self.relayer.peers.close()
         await self.shares.release()
         await self.dispatcher.close()
@@ -284,7 +258,7 @@
             settings.region,
             settings.failure_domain,
             self.is_ready and not self.is_leaving,
-            settings.relay_address if self.has_relay_server else "",
+            self.relay_helper.address,
             self.reach_watch.is_cut_off,
         )
 
--- a/src/pollenseam/relayhelper.py
+++ b/src/pollenseam/relayhelper.py
@@ -8,6 +8,8 @@
 from pollenseam import calls
 from pollenseam import dispatcher
 from pollenseam import errors
+from pollenseam import events
+from pollenseam import peers
 from pollenseam import relaymessages
 from pollenseam import steering
 
@@ -30,6 +32,9 @@
         now: Returns the time since boot in seconds.
         lends_until: Returns the time by which lent calls must end; 0 if this
             VM lends nothing now.
+        server: Server for calls from other entry VMs.
+        log: Event log.
+        address: IP:PORT of the server while it runs, or "".
         lent_calls: Calls of other VMs in progress.
         lent_bytes: Bytes of their bodies.
     """
@@ -40,14 +45,40 @@
         pools: Mapping[str, steering.Pool],
         now: Callable[[], float],
         lends_until: Callable[[], float],
+        server: peers.Server,
+        log: events.EventLog,
     ) -> None:
         self.dispatcher = call_dispatcher
         self.pools = pools
         self.now = now
         self.lends_until = lends_until
+        self.server = server
+        self.log = log
+        self.address = ""
         self.lent_calls = 0
         self.lent_bytes = 0
 
+    async def start(self, address: str) -> None:
+        """Starts to help, if that is possible.
+
+        Args:
+            address: IP:PORT for calls of other entry VMs; "" for none.
+        """
+        if not address:
+            return
+        self.server.handle(relaymessages.RELAY, self.handle)
+        try:
+            await self.server.start(address)
+        except errors.FlagError as error:
+            self.log.emit("helping-unavailable", why=str(error))
+            return
+        self.address = address
+
+    async def stop(self, grace: float) -> None:
+        """Stops helping; calls in progress have `grace` seconds to finish."""
+        if self.address:
+            await self.server.stop(grace)
+
     async def handle(
         self, message: relaymessages.RelayedCall
     ) -> relaymessages.RelayResponse:
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -231,6 +231,34 @@
         )
 
 
+def create_relayer(
+    name: str,
+    region: str,
+    log: events.EventLog,
+    now: Callable[[], float],
+    peer_client: peers.Client,
+    reach_watch: reachwatch.ReachWatch,
+    relays: metrics.Counter,
+) -> Relayer:
+    """Returns a relayer with connections of its own to helpers.
+
+    Args:
+        name: Name of this VM.
+        region: Region of this VM.
+        log: Event log.
+        now: Returns the time since boot in seconds.
+        peer_client: Client whose credentials and counts are used.
+        reach_watch: Follows which services this VM reaches.
+        relays: Counts calls given to helpers, by service and outcome.
+    """
+    client = peers.Client(
+        log.clock, peer_client.credentials, log, CHANNEL_OPTIONS
+    )
+    client.traffic = peer_client.traffic
+    known_helpers = helpers.Helpers(name, region)
+    return Relayer(log, now, client, known_helpers, reach_watch, relays)
+
+
 def apply(
     active_call: calls.ActiveCall,
     response: relaymessages.RelayResponse | None,
--- a/tests/test_rogue_upstreams.py
+++ b/tests/test_rogue_upstreams.py
@@ -154,7 +154,9 @@
     upstream = RogueUpstream(*ENDLESS[kind])
     await upstream.listen()
     entry_vm = make_entry_vm(upstream.address)
-    entry_vm.dispatcher.sender.reply_buffers.max_total_bytes = 2 * MAX_REPLY_BYTES
+    entry_vm.dispatcher.sender.reply_buffers.max_total_bytes = (
+        2 * MAX_REPLY_BYTES
+    )
     tracemalloc.start()
     try:
         with pytest.raises(errors.RefusedError) as caught:
