--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -65,3 +65,34 @@
     sent_to_others = sum(sent for sent, _ in others)
     assert served_by_others >= 0.9 * sent_to_others
     assert served / sent >= MIN_SERVED_RATIO * served_by_others / sent_to_others
+
+
+async def named_addresses(cluster, region="r1"):
+    ip = cluster.control_vms[0].ip
+    url = f"http://{ip}:7102/v1/resolve?name=x&region={region}"
+    async with cluster.session.get(url) as response:
+        return set((await response.json()).get("addrs", []))
+
+
+async def test_callers_are_sent_elsewhere_while_a_vm_is_cut_off(tmp_path):
+    """Guards against a directory that goes on naming a VM that is cut off."""
+    async with cuts.running_cluster(tmp_path) as cluster:
+        addresses = [f"{vm.ip}:7104" for vm in cluster.entry_vms]
+
+        async def names_all_but_the_first():
+            await cluster.request()
+            return await named_addresses(cluster) == {addresses[1]}
+
+        async def names_both():
+            return await named_addresses(cluster) == set(addresses[:2])
+
+        await cluster.wait_until(names_both)
+        cluster.cut(0, "refuse", "reset")
+        await cluster.wait_until(names_all_but_the_first)
+        ip = cluster.entry_vms[0].ip
+        async with cluster.session.get(
+            f"http://{ip}:7105/v1/ready"
+        ) as response:
+            assert response.status == 200
+        cluster.heal(0)
+        await cluster.wait_until(names_both)
