--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -181,9 +181,13 @@
             response = await self.relayer.send(active_call)
         except relaying.NoHelpError as error:
             return self._go_on_alone(active_call, error)
-        return relaying.apply(active_call, response) or self._evaluate_failure(
-            active_call
-        )
+        try:
+            reply = relaying.apply(active_call, response)
+        except errors.RefusedError:
+            if active_call.reply is None:
+                raise
+            return active_call.reply
+        return reply or self._evaluate_failure(active_call)
 
     def _go_on_alone(
         self, active_call: calls.ActiveCall, error: relaying.NoHelpError
@@ -345,11 +349,13 @@
 
     def _can_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
         """Returns whether time, upstreams and budget allow another attempt."""
-        choice = active_call.pool.choose(active_call.requirements(), now)
-        if (
-            choice is None
-            or now + choice.expected_seconds > active_call.deadline
-        ):
-            return False
         budget = self._budget(active_call.service)
-        return budget.can_spend(self.vm_count, now)
+        if not budget.can_spend(self.vm_count, now):
+            return False
+        if self._needs_helper(active_call):
+            return True
+        choice = active_call.pool.choose(active_call.requirements(), now)
+        return (
+            choice is not None
+            and now + choice.expected_seconds <= active_call.deadline
+        )
--- /dev/null
+++ b/tests/test_helpers.py
@@ -0,0 +1,100 @@
+"""The choice of the entry VM that sends a call for another one."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from pollenseam import controlmessages
+from pollenseam import helpers
+
+
+def entry(name, region="r1", **fields):
+    options = {"is_serving": True, "relay_address": f"{name}:2"} | fields
+    return controlmessages.EntryVm(
+        name, 1, f"{name}:1", region, "z1", **options
+    )
+
+
+def make_helpers(*entries):
+    known = helpers.Helpers("own", "r1")
+    known.update([entry("own"), *entries])
+    return known
+
+
+def choose(known, regions=(), asked=(), is_last=False, now=0.0):
+    helper = known.choose("s1", regions, asked, is_last, now)
+    return None if helper is None else helper.name
+
+
+def test_helpers_of_the_own_region_come_first_but_not_the_last_one():
+    """Guards against a region that is cut off as a whole asking only itself."""
+    known = make_helpers(entry("near"), entry("far", "r2"))
+    assert choose(known) == "near"
+    assert choose(known, is_last=True) == "far"
+    assert choose(known, asked={"near"}) == "far"
+
+
+def test_a_body_goes_to_allowed_regions_only():
+    known = make_helpers(entry("near"), entry("far", "r2"))
+    assert choose(known, regions={"r2"}) == "far"
+    assert choose(known, regions={"r3"}) is None
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from(
+            [
+                {"is_serving": False},
+                {"is_cut_off": True},
+                {"relay_address": ""},
+            ]
+        ),
+        min_size=1,
+    )
+)
+def test_vms_that_cannot_help_are_not_asked(states):
+    known = make_helpers(*(entry(f"vm-{n}", **s) for n, s in enumerate(states)))
+    assert choose(known) is None
+
+
+def test_calls_are_spread_over_the_helpers():
+    """Guards against a domain that is cut off pressing on one other VM."""
+    known = make_helpers(*(entry(f"vm-{n}") for n in range(10)))
+    counts = collections.Counter()
+    for _ in range(200):
+        name = choose(known)
+        known.begin(name)
+        counts[name] += 1
+    assert max(counts.values()) <= 2 * 200 / 10
+    for name, count in counts.items():
+        for _ in range(count):
+            known.end(name)
+    assert known.in_flight == {}
+
+
+def test_a_helper_is_avoided_for_one_service_or_for_all():
+    known = make_helpers(entry("near"))
+    known.avoid("near", 1.0, 0.0, "s2")
+    assert choose(known) == "near"
+    known.avoid("near", 1.0, 0.0)
+    assert choose(known, now=0.9) is None
+    assert choose(known, now=1.0) == "near"
+
+
+def test_the_pauses_grow_while_no_helper_reaches_a_service():
+    """Guards against a herd of relays for a service that is down."""
+    known = make_helpers(entry("near"))
+    now = 0.0
+    lengths = []
+    for _ in range(5):
+        known.record_no_help("s1", now)
+        lengths.append(known.paused_until["s1"] - now)
+        assert known.is_paused("s1", now)
+        now += lengths[-1]
+        assert not known.is_paused("s1", now)
+    assert lengths == [0.5, 1.0, 2.0, 4.0, 4.0]
+    assert not known.is_paused("s2", 0.0)
+    known.record_no_help("s1", now)
+    known.record_help("s1")
+    assert not known.is_paused("s1", now)
--- /dev/null
+++ b/tests/test_relaying.py
@@ -0,0 +1,286 @@
+"""Calls that another entry VM sends: what the one that read them does."""
+
+import asyncio
+import contextlib
+
+import pytest
+import test_rogue_upstreams
+
+from pollenseam import controlmessages
+from pollenseam import errors
+from pollenseam import events
+from pollenseam import peers
+from pollenseam import relayhelper
+from pollenseam import relaying
+from pollenseam import relaymessages
+from pollenseam import traffic
+from pollenseam.standins import fleet
+
+SHED = relaymessages.RelayedRefusal("no-room", "no room", "no", 0.5)
+FAILED = relaymessages.RelayedRefusal("upstream-failed", "broke", "unknown", 0)
+OVERLOADED = relaymessages.RelayedRefusal("no-room", "all full", "no", 0.25)
+
+
+def replied(status):
+    reply = relaymessages.RelayedReply(
+        status, b"Status", [(b"X-A", b"\xff")], b"body"
+    )
+    return relaymessages.RelayResponse("replied", reply, None, "i9", 1)
+
+
+class ScriptedHelper:
+    """An entry VM that answers relayed calls as told.
+
+    Attributes:
+        answer: Answers one call.
+        received: Calls received.
+        cancelled: Number of calls that were cancelled.
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.received = []
+        self.cancelled = 0
+        self.server = peers.Server(events.LogicalClock(), traffic.Traffic())
+
+    async def start(self):
+        port = fleet.free_port()
+        self.address = f"127.0.0.1:{port}"
+        self.server.handle(relaymessages.RELAY, self.handle)
+        await self.server.start(self.address)
+
+    async def handle(self, message):
+        self.received.append(message)
+        try:
+            return await self.answer(self)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def answering(response):
+    async def answer(helper):
+        return response
+
+    return answer
+
+
+async def never_answers(helper):
+    await asyncio.sleep(60)
+
+
+async def fails(helper):
+    raise ValueError("a fault of the helper")
+
+
+async def dies(helper):
+    stop = asyncio.create_task(helper.server.stop(0))
+    await asyncio.sleep(60)
+    await stop
+
+
+@contextlib.asynccontextmanager
+async def cut_off_vm(*answers, is_idempotent=False, retry_slack=100.0):
+    """Yields an entry VM whose only upstream is out of reach, and helpers."""
+    entry_vm = test_rogue_upstreams.make_entry_vm(
+        f"127.0.0.1:{fleet.free_port()}"
+    )
+    entry_vm.dispatcher.retry_slack = retry_slack
+    entry_vm.table.find_route("h", "/a/1").route.is_idempotent = is_idempotent
+    scripted = [ScriptedHelper(answer) for answer in answers]
+    for helper in scripted:
+        await helper.start()
+    entry_vm.relayer.helpers.update(
+        [
+            controlmessages.EntryVm(
+                f"h{n}", 1, "", "r1", "z1", True, helper.address
+            )
+            for n, helper in enumerate(scripted)
+        ]
+    )
+    try:
+        yield entry_vm, scripted
+    finally:
+        entry_vm.reach_watch.close()
+        await entry_vm.relayer.peers.close()
+        await entry_vm.dispatcher.close()
+        for helper in scripted:
+            await helper.server.stop(0)
+
+
+async def serve(entry_vm, seconds=60.0):
+    call = test_rogue_upstreams.make_call(entry_vm)
+    call.deadline = entry_vm.now() + seconds
+    try:
+        return await entry_vm.serve(call)
+    except errors.RefusedError as error:
+        return error.refusal
+
+
+async def test_a_reply_is_returned_as_the_helper_received_it():
+    async with cut_off_vm(answering(replied(200))) as (entry_vm, [helper]):
+        reply = await serve(entry_vm)
+        assert (reply.status, reply.reason, reply.body) == (
+            200,
+            "Status",
+            b"body",
+        )
+        assert reply.headers["X-A"] == "\udcff"
+        [message] = helper.received
+        assert message.workspace == "w1"
+        assert message.tried == []
+        assert b"k1" not in b"".join(v for _, v in message.headers)
+        assert 0 < message.left_ms <= 3000
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind", "executed", "retry_after"),
+    [
+        (
+            answering(
+                relaymessages.RelayResponse("refused", None, FAILED, "i9", 1)
+            ),
+            errors.Kind.UPSTREAM_FAILED,
+            "unknown",
+            None,
+        ),
+        (fails, errors.Kind.UPSTREAM_FAILED, "unknown", None),
+        (dies, errors.Kind.UPSTREAM_FAILED, "unknown", None),
+        (never_answers, errors.Kind.DEADLINE, "unknown", None),
+        (
+            answering(relaymessages.RelayResponse("not-reached")),
+            errors.Kind.NO_ROOM,
+            "no",
+            1.0,
+        ),
+        (
+            answering(relaymessages.RelayResponse("no-capacity")),
+            errors.Kind.NO_ROOM,
+            "no",
+            0.05,
+        ),
+        (
+            answering(relaymessages.RelayResponse("refused", None, OVERLOADED)),
+            errors.Kind.NO_ROOM,
+            "no",
+            0.25,
+        ),
+    ],
+)
+async def test_a_refusal_says_not_run_only_if_the_call_surely_has_not(
+    answer, kind, executed, retry_after
+):
+    """Guards against 503 for a call that a helper may have sent."""
+    async with cut_off_vm(answer) as (entry_vm, [helper]):
+        refusal = await serve(entry_vm, seconds=1.0)
+        assert (refusal.kind, refusal.executed) == (kind, executed)
+        assert refusal.retry_after == retry_after
+        assert len(helper.received) == 1
+
+
+@pytest.mark.parametrize("first", [fails, dies, answering(replied(500))])
+async def test_only_idempotent_calls_are_given_to_a_second_helper(first):
+    """Guards against a second run of a call that a helper may have sent."""
+    for is_idempotent in (True, False):
+        async with cut_off_vm(first, first, is_idempotent=is_idempotent) as (
+            entry_vm,
+            scripted,
+        ):
+            entry_vm.table.find_route("h", "/a/1").route.max_attempts = 2
+            await serve(entry_vm)
+            sends = sum(len(helper.received) for helper in scripted)
+            assert sends == 1 + is_idempotent
+
+
+async def test_a_second_send_takes_from_the_one_retry_budget():
+    """Guards against helpers that retry beyond the budget of the fleet."""
+    shed = answering(
+        relaymessages.RelayResponse("refused", None, SHED, "i9", 0)
+    )
+    async with cut_off_vm(shed, retry_slack=0.0) as (entry_vm, [helper]):
+        refusal = await serve(entry_vm)
+        assert (refusal.kind, refusal.executed) == (errors.Kind.NO_ROOM, "no")
+        assert len(helper.received) == 1
+        budget = entry_vm.dispatcher.retry_budgets["s1"]
+        assert sum(budget.request_counts.values()) == 1
+        assert sum(budget.retry_counts.values()) == 0
+    async with cut_off_vm(shed) as (entry_vm, [helper]):
+        await serve(entry_vm, seconds=1.0)
+        budget = entry_vm.dispatcher.retry_budgets["s1"]
+        assert sum(budget.retry_counts.values()) == len(helper.received) - 1
+        assert helper.received[1].tried == ["i9"]
+
+
+async def test_a_caller_that_leaves_ends_the_relayed_call():
+    """Guards against upstreams that work for callers who are gone."""
+    async with cut_off_vm(never_answers) as (entry_vm, [helper]):
+        task = asyncio.create_task(serve(entry_vm))
+        while not helper.received:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        while not helper.cancelled:
+            await asyncio.sleep(0.01)
+        assert entry_vm.relayer.helpers.in_flight == {}
+
+
+async def test_a_service_that_is_down_for_all_asks_few_helpers():
+    """Guards against a herd of relays where no VM reaches the service."""
+    down = answering(relaymessages.RelayResponse("not-reached"))
+    async with cut_off_vm(down, down, down, down) as (entry_vm, scripted):
+        for _ in range(50):
+            assert (await serve(entry_vm)).kind == errors.Kind.NO_ROOM
+        received = sum(len(helper.received) for helper in scripted)
+        assert received <= relaying.MAX_ASKED
+        assert not entry_vm.own_record.is_cut_off
+
+
+# The helper.
+
+
+def make_message(body=b"", left_ms=1000, service="s1"):
+    return relaymessages.RelayedCall(
+        service,
+        "route",
+        [],
+        left_ms,
+        500,
+        1,
+        False,
+        [],
+        b"q1",
+        b"GET",
+        b"/a/\xff",
+        b"h",
+        [(b"X-Request-Id", b"q1"), (b"X-B", b"\xfe")],
+        body,
+        None,
+        "w1",
+    )
+
+
+async def test_a_helper_lends_no_more_than_it_can_bear():
+    """Guards against a VM that drowns in the calls of others."""
+    entry_vm = test_rogue_upstreams.make_entry_vm("127.0.0.1:1")
+    helper = entry_vm.relay_helper
+    refused = []
+
+    async def is_refused(message):
+        response = await helper.handle(message)
+        refused.append(response.outcome == relaymessages.NO_CAPACITY)
+        return refused[-1]
+
+    assert not await is_refused(make_message())
+    assert await is_refused(make_message(service="unknown"))
+    helper.lent_calls = relayhelper.MAX_LENT_CALLS
+    assert await is_refused(make_message())
+    helper.lent_calls = 0
+    helper.lent_bytes = relayhelper.MAX_LENT_BYTES
+    assert await is_refused(make_message(b"x"))
+    helper.lent_bytes = 0
+    entry_vm.stop_deadline = entry_vm.now() + 0.5
+    assert await is_refused(make_message())
+    entry_vm.stop_deadline = float("inf")
+    entry_vm.freshness.as_of = None
+    assert await is_refused(make_message())
+    entry_vm.reach_watch.close()
+    await entry_vm.dispatcher.close()
