--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -12,6 +12,9 @@
 # Failed connects to this many upstreams, or to all if there are fewer, without
 # a successful one between them, mean that the service is not reached.
 UNREACHED_COUNT = 2
+# As many, while replies go on arriving on kept connections. Then it is more
+# likely that some of the upstreams are out of reach for all VMs.
+LIVE_UNREACHED_COUNT = 4
 # A failed connect is no evidence beside one that fails much later.
 EVIDENCE_SECONDS = 8.0
 # Kept connections are trusted for this time after a reply.
@@ -99,8 +102,11 @@
         self.failed[upstream] = now
         if self.failing_since is None:
             self.failing_since = now
-        required = min(UNREACHED_COUNT, upstream_count)
-        if self.is_unreached or len(self.failed) < required:
+        required = UNREACHED_COUNT
+        if self.has_live_connections(now):
+            required = LIVE_UNREACHED_COUNT
+        is_lost = len(self.failed) >= min(required, upstream_count)
+        if self.is_unreached or not is_lost:
             return False
         self.unreached_since = now
         return True
--- a/src/pollenseam/relayhelper.py
+++ b/src/pollenseam/relayhelper.py
@@ -141,7 +141,10 @@
     """Returns the response for a call without a reply."""
     executions = active_call.executions or int(refusal.executed != "no")
     if not executions and not active_call.received_by:
-        is_unreached = active_call.connect_failures or active_call.needs_helper
+        is_unreached = (
+            active_call.needs_helper
+            or active_call.connect_failures >= calls.MAX_CONNECT_FAILURES
+        )
         if is_unreached or not active_call.pool.upstreams:
             return relaymessages.RelayResponse(relaymessages.NOT_REACHED)
     return relaymessages.RelayResponse(
--- /dev/null
+++ b/tests/test_cut_off_more.py
@@ -0,0 +1,261 @@
+"""Cuts of parts, of many VMs and of helpers, as real programs."""
+
+import asyncio
+import signal
+import time
+
+import cuts
+import machines
+import pytest
+import test_cut_off
+
+MIN_SERVED_RATIO = 2 / 3
+
+
+async def served_ratios(cluster, entry_indexes, seconds=2.5):
+    counts = await asyncio.gather(
+        *(
+            test_cut_off.count_first_tries(cluster, n, seconds)
+            for n in entry_indexes
+        )
+    )
+    return [served / sent for sent, served in counts]
+
+
+async def metric(cluster, entry_index, name):
+    """Returns the sum of a metric's values at an entry VM."""
+    ip = cluster.entry_vms[entry_index].ip
+    async with cluster.session.get(f"http://{ip}:7106/") as response:
+        lines = (await response.text()).splitlines()
+    return sum(
+        float(line.rpartition(" ")[2])
+        for line in lines
+        if line.startswith(f"pollenseam_{name}")
+    )
+
+
+@pytest.mark.parametrize("cut_vms", [[0, 3], [0, 2, 3]])
+async def test_the_vms_of_a_domain_and_all_but_one_serve_while_cut_off(
+    tmp_path, cut_vms
+):
+    """Guards against helpers that are all sought among the VMs cut off.
+
+    VMs 0 and 3 are all of domain z1, VM 1 is the only other one of their
+    region, VM 2 is in another one.
+    """
+    async with cuts.running_cluster(tmp_path, entry_count=4) as cluster:
+        for n in cut_vms:
+            cluster.cut(n, "hang", "reset")
+        await served_ratios(cluster, cut_vms, test_cut_off.CONTACT_SECONDS)
+        ratios = await served_ratios(cluster, range(4))
+        assert min(ratios) >= MIN_SERVED_RATIO
+        assert await metric(cluster, 1, "services_unreached") == 0
+
+
+async def test_a_way_that_comes_and_goes_serves_most_callers(tmp_path):
+    """Guards against a VM that is lost between two beliefs."""
+    async with cuts.running_cluster(tmp_path) as cluster:
+
+        async def cut_and_heal():
+            while True:
+                cluster.cut(0, "hang", "live")
+                await asyncio.sleep(0.6)
+                cluster.heal(0)
+                await asyncio.sleep(0.6)
+
+        for server in cluster.servers:
+            server.reply_headers["Connection"] = "close"
+        task = asyncio.create_task(cut_and_heal())
+        await served_ratios(cluster, [0], 2.0)
+        [ratio] = await served_ratios(cluster, [0], 4.0)
+        task.cancel()
+        assert ratio >= MIN_SERVED_RATIO
+
+
+async def test_a_cut_of_some_upstreams_leaves_the_others_in_use(tmp_path):
+    """Guards against a VM that gives up all upstreams for some of them."""
+    async with cuts.running_cluster(tmp_path) as cluster:
+        cluster.cut(0, "hang", "reset", cluster.servers[:2])
+        await served_ratios(cluster, [0], 2.0)
+        ratios = await served_ratios(cluster, [0, 1])
+        assert min(ratios) >= MIN_SERVED_RATIO
+        log = cluster.entry_vms[0].read_log()
+        assert log.count("event=service-unreached") <= 3
+
+
+async def test_a_service_that_is_down_for_all_makes_no_vm_leave(tmp_path):
+    """Guards against VMs that all call themselves cut off, and relay in herds.
+
+    Connects are refused to all, as by upstreams that ended.
+    """
+    async with cuts.running_cluster(tmp_path) as cluster:
+        for n in range(3):
+            cluster.cut(n, "refuse", "reset")
+        await served_ratios(cluster, range(3), 1.0)
+        relays_before = await metric(cluster, 0, "relays_total")
+        started = time.monotonic()
+        sent = 0
+        while time.monotonic() < started + 2.0:
+            sent += 1
+            status, headers, _ = await cluster.request()
+            assert status == 503
+            assert float(headers["Retry-After"]) >= 0.05
+        relays = await metric(cluster, 0, "relays_total") - relays_before
+        assert sent > 50
+        assert relays <= 12
+        named = await test_cut_off.named_addresses(cluster)
+        assert named == {f"{vm.ip}:7104" for vm in cluster.entry_vms[:2]}
+        assert await metric(cluster, 0, "is_cut_off") == 0
+        for n in range(3):
+            cluster.heal(n)
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+
+
+def runs_by_id(cluster):
+    """Returns how often each request was run, by its id."""
+    counts = {}
+    for server in cluster.servers:
+        for _, _, headers in server.received_requests:
+            id = headers["X-Request-Id"]
+            counts[id] = counts.get(id, 0) + 1
+    return counts
+
+
+@pytest.mark.parametrize("trouble", ["killed", "frozen", "cut", "stopped"])
+async def test_a_call_whose_helper_fails_runs_once_and_is_not_denied(
+    tmp_path, trouble
+):
+    """Guards against 503 for, or a second run of, what a helper had in flight.
+
+    The calls are not idempotent and reach the upstreams before the trouble.
+    """
+    async with cuts.running_cluster(tmp_path, entry_count=2) as cluster:
+        cluster.cut(0, "refuse", "reset")
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+        for server in cluster.servers:
+            server.received_requests.clear()
+            server.delay_seconds = 0.8
+        answers = {}
+
+        async def send(number):
+            id = f"unsafe-{number}"
+            status, _, _ = await cluster.request(
+                "/b/1",
+                method="POST",
+                data=b"x",
+                headers={"X-Request-Id": id},
+            )
+            answers[id] = status
+
+        tasks = [asyncio.create_task(send(n)) for n in range(8)]
+
+        async def are_running():
+            return sum(runs_by_id(cluster).values()) >= 4
+
+        await cluster.wait_until(are_running)
+        helper = cluster.entry_vms[1]
+        if trouble == "killed":
+            await helper.kill()
+        elif trouble == "frozen":
+            helper.process.send_signal(signal.SIGSTOP)
+        elif trouble == "cut":
+            cluster.cut(1, "refuse", "reset")
+        else:
+            helper.process.send_signal(signal.SIGTERM)
+        await asyncio.gather(*tasks)
+        if trouble == "frozen":
+            helper.process.send_signal(signal.SIGCONT)
+        runs = runs_by_id(cluster)
+        assert max(runs.values()) == 1
+        denied = [id for id, status in answers.items() if status == 503]
+        assert [id for id in denied if id in runs] == []
+        if trouble == "stopped":
+            assert {answers[id] for id in runs} == {200}
+
+
+async def test_a_relayed_request_keeps_its_id_its_time_and_its_headers(
+    tmp_path,
+):
+    """Guards against what a second VM on the way may lose or add."""
+    async with cuts.running_cluster(tmp_path, entry_count=2) as cluster:
+        cluster.cut(0, "refuse", "reset")
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+        for server in cluster.servers:
+            server.received_requests.clear()
+        status, headers, body = await cluster.request(
+            "/b/x?y=1",
+            method="POST",
+            data=b"hello",
+            headers={
+                "X-Request-Id": "relayed-1",
+                "X-Deadline-Ms": "900",
+                "X-Tenant": "forged",
+                "X-Odd": "café",
+            },
+        )
+        assert (status, body) == (200, b"done hello")
+        assert headers["X-Reply-Stamp"]
+        [(method, target, received)] = [
+            request
+            for server in cluster.servers
+            for request in server.received_requests
+        ]
+        assert (method, target) == ("POST", "/b/x?y=1")
+        assert received["X-Request-Id"] == "relayed-1"
+        assert received["X-Tenant"] == "t1"
+        assert received["X-Odd"] == "café"
+        assert 0 < int(received["X-Deadline-Ms"]) <= 900
+        assert "k1" not in str(dict(received))
+        logs = [vm.read_log() for vm in cluster.entry_vms]
+        assert "event=relayed request=relayed-1" in logs[0]
+        assert "event=served request=relayed-1" in logs[1]
+
+
+async def test_a_caller_that_leaves_frees_the_helper(tmp_path):
+    """Guards against helpers that work on for callers who are gone."""
+    async with cuts.running_cluster(tmp_path, entry_count=2) as cluster:
+        cluster.cut(0, "refuse", "reset")
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+        for server in cluster.servers:
+            server.delay_seconds = 30.0
+        caller = asyncio.create_task(cluster.request())
+
+        async def lends(count):
+            return await metric(cluster, 1, "lent_calls") == count
+
+        await cluster.wait_until(lambda: lends(1))
+        caller.cancel()
+        await cluster.wait_until(lambda: lends(0), timeout_seconds=1.5)
+        for server in cluster.servers:
+            server.delay_seconds = 0.0
+
+
+async def test_a_cut_of_one_service_leaves_the_other_alone(tmp_path):
+    """Guards against a VM that judges itself as a whole."""
+    async with cuts.running_cluster(tmp_path, entry_count=2) as cluster:
+        patch = machines.initial_patch(2, services=("s1", "s2"))
+        routes = patch["upsert"]["hosts"][0]["paths"]
+        routes[1]["service"] = "s2"
+        assert (await cluster.rpc("config.patch", body=patch))[0] == 200
+        second = [
+            await cluster.add_server(f"i-s2-{n}", service="s2")
+            for n in range(2)
+        ]
+
+        async def is_served(path):
+            return (await cluster.request(path))[0] == 200
+
+        async def has_moved():
+            await is_served("/b/1")
+            return any(server.received_requests for server in second)
+
+        await cluster.wait_until(has_moved)
+        cluster.cut(0, "refuse", "reset", cluster.servers[:4])
+        await cluster.wait_until(lambda: is_served("/a/1"))
+        before = await metric(cluster, 0, "relays_total")
+        for _ in range(10):
+            assert await is_served("/b/1")
+        assert await metric(cluster, 0, "relays_total") == before
+        for _ in range(10):
+            assert await is_served("/a/1")
+        assert await metric(cluster, 0, "relays_total") >= before + 10
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -77,6 +77,16 @@
     assert reach.record_connected("u1", 1, 1.0)
 
 
+def test_replies_on_kept_connections_call_for_more_evidence():
+    """Guards against a VM that gives up a service for a few dead upstreams."""
+    reach = reachability.ServiceReach()
+    now = play(reach, [("failed", "u1", 0.0), ("reply", "", 0.1)])
+    now = play(reach, [("failed", u, 0.1) for u in ("u2", "u3")], now=now)
+    assert not reach.is_unreached
+    play(reach, [("failed", "u4", 0.1)], now=now)
+    assert reach.is_unreached
+
+
 def test_each_return_within_some_seconds_takes_one_more_upstream():
     """Guards against a VM whose way comes and goes, with each call."""
     reach = reachability.ServiceReach()
