--- a/src/pollenseam/explanation.py
+++ b/src/pollenseam/explanation.py
@@ -5,7 +5,7 @@
 from pollenseam import timeline
 
 # Events that show which settings a VM had in force, whether they were fresh and
-# whether their source or the leader was reachable.
+# whether their source, the leader or the upstreams were reachable.
 SETTINGS_STATE_EVENTS = frozenset(
     {
         "registry-in-force",
@@ -14,6 +14,8 @@
         "source-unreachable",
         "source-behind",
         "leader-unreachable",
+        "service-unreached",
+        "service-reached",
         "started",
     }
 )
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -5,6 +5,7 @@
 the deadline and the answer.
 """
 
+import collections
 from collections.abc import Callable
 
 from pollenseam import calls
@@ -55,6 +56,7 @@
         reach_watch: Follows which services this VM reaches.
         relays: Counts calls given to helpers, by service and outcome.
         used_at: Time of the last use of a connection, by helper's address.
+        open_calls: Calls in progress, by helper's address.
     """
 
     def __init__(
@@ -73,12 +75,16 @@
         self.reach_watch = reach_watch
         self.relays = relays
         self.used_at: dict[str, float] = {}
+        self.open_calls: collections.Counter[str] = collections.Counter()
 
     async def close_idle(self) -> None:
         """Closes connections to helpers that were not used for a while."""
         oldest = self.now() - IDLE_SECONDS
-        for address in [a for a, at in self.used_at.items() if at < oldest]:
+        for address, used_at in list(self.used_at.items()):
+            if used_at >= oldest or self.open_calls[address]:
+                continue
             del self.used_at[address]
+            del self.open_calls[address]
             await self.peers.disconnect(address)
 
     async def send(
@@ -145,7 +151,9 @@
         """
         started_at = self.now()
         left_seconds = active_call.deadline - started_at
-        self.used_at[helper.relay_address] = started_at
+        address = helper.relay_address
+        self.used_at[address] = started_at
+        self.open_calls[address] += 1
         self.helpers.begin(helper.name)
         outcome = "cancelled"
         try:
@@ -156,6 +164,8 @@
             raise
         finally:
             self.helpers.end(helper.name)
+            self.open_calls[address] -= 1
+            self.used_at[address] = self.now()
             self._learn(active_call.service, helper.name, outcome)
             self._record(active_call, helper, outcome, started_at)
         return response
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -42,6 +42,28 @@
     assert result.skipped_lines == 1
 
 
+def test_a_relayed_request_is_explained_from_the_logs_of_both_vms():
+    """Guards against the helper's settings taken for those that decided."""
+    origin = [
+        "ts=1 lt=1 vm=e1 event=registry-in-force index=8",
+        "ts=2 lt=2 vm=e1 event=service-unreached service=s1",
+        "ts=3 lt=3 vm=e1 event=relaying request=q1 helper=e2",
+        "ts=4 lt=7 vm=e1 event=relayed request=q1 helper=e2 outcome=replied",
+    ]
+    helper = [
+        "ts=1 lt=1 vm=e2 event=registry-in-force index=7",
+        "ts=3 lt=5 vm=e2 event=served request=q1 upstream=i1",
+    ]
+    result = explanation.explain("q1", [helper, origin])
+    assert [e.fields["event"] for e in result.request_events] == [
+        "relaying",
+        "served",
+        "relayed",
+    ]
+    state = {e.fields["event"]: e.vm for e in result.settings_state}
+    assert state == {"registry-in-force": "e1", "service-unreached": "e1"}
+
+
 def test_a_request_without_logged_events_is_reported_as_missing():
     result = explanation.explain("q3", [ENTRY])
     assert result.request_events == []
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -225,6 +225,28 @@
         assert entry_vm.relayer.helpers.in_flight == {}
 
 
+async def test_a_connection_to_a_helper_is_closed_when_no_call_needs_it(
+    monkeypatch,
+):
+    """Guards against idle connections, and against a long call that is cut."""
+    monkeypatch.setattr(relaying, "IDLE_SECONDS", 0.0)
+
+    async def answers_late(helper):
+        await asyncio.sleep(0.3)
+        return replied(200)
+
+    async with cut_off_vm(answers_late) as (entry_vm, [helper]):
+        task = asyncio.create_task(serve(entry_vm))
+        while not helper.received:
+            await entry_vm.relayer.close_idle()
+            await asyncio.sleep(0.01)
+        await entry_vm.relayer.close_idle()
+        assert (await task).status == 200
+        assert entry_vm.relayer.used_at
+        await entry_vm.relayer.close_idle()
+        assert not entry_vm.relayer.used_at
+
+
 async def test_a_service_that_is_down_for_all_asks_few_helpers():
     """Guards against a herd of relays where no VM reaches the service."""
     down = answering(relaymessages.RelayResponse("not-reached"))
