--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -22,7 +22,8 @@
         region: Region of the VM.
         failure_domain: Failure domain of the VM.
         is_serving: Whether callers should send requests to the VM.
-        relay_address: IP:PORT at which the VM sends calls of other VMs, or "".
+        relay_port: Port, at the IP of `address`, at which the VM sends calls of
+            other VMs; 0 if it does not.
         is_cut_off: Whether other VMs reach upstreams that the VM does not.
     """
 
@@ -32,9 +33,16 @@
     region: str
     failure_domain: str
     is_serving: bool
-    relay_address: str = ""
+    relay_port: int = 0
     is_cut_off: bool = False
 
+    @property
+    def relay_address(self) -> str:
+        """IP:PORT at which the VM sends calls of other VMs, or ""."""
+        if not self.relay_port:
+            return ""
+        return f"{self.address.rpartition(':')[0]}:{self.relay_port}"
+
 
 class ControlVm(msgspec.Struct, array_like=True):
     """Record of a control VM in the directory.
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -63,8 +63,8 @@
         retry_window_seconds: Length of the retry budget's window.
         tolerance: How far all entry VMs together may exceed a workspace's
             rate.
-        relay_address: IP:PORT at which this VM sends calls of other entry VMs,
-            or "" if it doesn't.
+        relay_port: Port, at the IP of `address`, at which this VM sends calls
+            of other entry VMs; 0 if it doesn't.
     """
 
     __slots__ = (
@@ -79,7 +79,7 @@
         "retry_slack",
         "retry_window_seconds",
         "tolerance",
-        "relay_address",
+        "relay_port",
     )
 
     def __init__(
@@ -95,7 +95,7 @@
         retry_slack: float,
         retry_window_seconds: float,
         tolerance: leases.Tolerance,
-        relay_address: str = "",
+        relay_port: int = 0,
     ) -> None:
         self.name = name
         self.region = region
@@ -108,7 +108,7 @@
         self.retry_slack = retry_slack
         self.retry_window_seconds = retry_window_seconds
         self.tolerance = tolerance
-        self.relay_address = relay_address
+        self.relay_port = relay_port
 
 
 class EntryVm:
@@ -215,7 +215,9 @@
 
     async def start(self) -> None:
         """Starts to follow the registry, to lease shares and to help."""
-        await self.relay_helper.start(self.settings.relay_address)
+        settings = self.settings
+        host = settings.address.rpartition(":")[0]
+        await self.relay_helper.start(host, settings.relay_port)
         self._tasks.spawn(self._watch())
         self._tasks.spawn(self.shares.run())
 
@@ -258,7 +260,7 @@
             settings.region,
             settings.failure_domain,
             self.is_ready and not self.is_leaving,
-            self.relay_helper.address,
+            self.relay_helper.port,
             self.reach_watch.is_cut_off,
         )
 
--- a/src/pollenseam/helpers.py
+++ b/src/pollenseam/helpers.py
@@ -98,7 +98,7 @@
     def _is_usable(
         self, entry: controlmessages.EntryVm, service: str, now: float
     ) -> bool:
-        if not entry.is_serving or entry.is_cut_off or not entry.relay_address:
+        if not entry.is_serving or entry.is_cut_off or not entry.relay_port:
             return False
         avoided = self.avoided_until
         return (
--- a/src/pollenseam/relayhelper.py
+++ b/src/pollenseam/relayhelper.py
@@ -34,7 +34,7 @@
             VM lends nothing now.
         server: Server for calls from other entry VMs.
         log: Event log.
-        address: IP:PORT of the server while it runs, or "".
+        port: Port of the server while it runs, or 0.
         lent_calls: Calls of other VMs in progress.
         lent_bytes: Bytes of their bodies.
     """
@@ -54,29 +54,30 @@
         self.lends_until = lends_until
         self.server = server
         self.log = log
-        self.address = ""
+        self.port = 0
         self.lent_calls = 0
         self.lent_bytes = 0
 
-    async def start(self, address: str) -> None:
+    async def start(self, host: str, port: int) -> None:
         """Starts to help, if that is possible.
 
         Args:
-            address: IP:PORT for calls of other entry VMs; "" for none.
+            host: Address for calls of other entry VMs.
+            port: Port for these calls; 0 for none.
         """
-        if not address:
+        if not port:
             return
         self.server.handle(relaymessages.RELAY, self.handle)
         try:
-            await self.server.start(address)
+            await self.server.start(f"{host}:{port}")
         except errors.FlagError as error:
             self.log.emit("helping-unavailable", why=str(error))
             return
-        self.address = address
+        self.port = port
 
     async def stop(self, grace: float) -> None:
         """Stops helping; calls in progress have `grace` seconds to finish."""
-        if self.address:
+        if self.port:
             await self.server.stop(grace)
 
     async def handle(
--- a/tests/test_directories.py
+++ b/tests/test_directories.py
@@ -13,7 +13,7 @@
 
 def entry(name, region="r1", is_serving=True, is_cut_off=False):
     return controlmessages.EntryVm(
-        name, 1, f"{name}:1", region, "z1", is_serving, f"{name}:2", is_cut_off
+        name, 1, f"{name}:1", region, "z1", is_serving, 2, is_cut_off
     )
 
 
--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -10,7 +10,7 @@
 
 
 def entry(name, region="r1", **fields):
-    options = {"is_serving": True, "relay_address": f"{name}:2"} | fields
+    options = {"is_serving": True, "relay_port": 2} | fields
     return controlmessages.EntryVm(
         name, 1, f"{name}:1", region, "z1", **options
     )
@@ -47,7 +47,7 @@
             [
                 {"is_serving": False},
                 {"is_cut_off": True},
-                {"relay_address": ""},
+                {"relay_port": 0},
             ]
         ),
         min_size=1,
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -47,9 +47,9 @@
 
     async def start(self):
         port = fleet.free_port()
-        self.address = f"127.0.0.1:{port}"
+        self.port = port
         self.server.handle(relaymessages.RELAY, self.handle)
-        await self.server.start(self.address)
+        await self.server.start(f"127.0.0.1:{port}")
 
     async def handle(self, message):
         self.received.append(message)
@@ -95,7 +95,7 @@
     entry_vm.relayer.helpers.update(
         [
             controlmessages.EntryVm(
-                f"h{n}", 1, "", "r1", "z1", True, helper.address
+                f"h{n}", 1, "127.0.0.1:1", "r1", "z1", True, helper.port
             )
             for n, helper in enumerate(scripted)
         ]
