--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -16,6 +16,7 @@
 from pollenseam import leases
 from pollenseam import metrics
 from pollenseam import observations
+from pollenseam import overdrafts
 from pollenseam import peers
 from pollenseam import reachwatch
 from pollenseam import registry
@@ -36,12 +37,6 @@
 # leader, and another source is used.
 MAX_SOURCE_AGE_SECONDS = 1.2
 SOURCE_BACKOFF_SECONDS = 2.0
-# Part of a rate's tolerated overdraft that entry VMs may use before they
-# report it; the lender grants another part.
-OVERDRAFT_RATIO = 0.4
-# Part of a rate's tolerated overdraft that entry VMs may use while no lender
-# answers.
-OUTAGE_OVERDRAFT_RATIO = 0.2
 # Retry-After of a VM that is about to stop; other VMs can serve at once.
 STOPPING_RETRY_SECONDS = 0.05
 
@@ -539,7 +534,7 @@
         """Returns how far a workspace's share may be overdrawn now."""
         limit = leases.Limit(workspace.rate, workspace.burst)
         tolerated = self.settings.tolerance.max_overdraft(limit)
-        return overdraft(
+        return overdrafts.overdraft(
             limit, tolerated, self.dispatcher.vm_count, random.random()
         )
 
@@ -609,30 +604,6 @@
         )
 
 
-def overdraft(
-    limit: leases.Limit, tolerated: float, vms: int, random_fraction: float
-) -> buckets.OverdraftLimits:
-    """Returns how far one VM may overdraw its share of a rate.
-
-    While no lender answers, all VMs together may use the tokens that the rate
-    yields within `buckets.TAKEOVER_SECONDS`, and OUTAGE_OVERDRAFT_RATIO of the
-    tolerated overdraft. Each VM has an equal part. Adding the random fraction
-    rounds a fraction of a token up on some VMs and down on others.
-
-    Args:
-        limit: Rate and burst of all VMs together.
-        tolerated: Requests by which all VMs together may exceed the limit.
-        vms: Number of entry VMs.
-        random_fraction: Random number from 0 to 1, drawn for each request.
-    """
-    connected = max(1.0, OVERDRAFT_RATIO * tolerated / vms)
-    outage = (
-        limit.rate * buckets.TAKEOVER_SECONDS
-        + OUTAGE_OVERDRAFT_RATIO * tolerated
-    )
-    return buckets.OverdraftLimits(connected, outage / vms + random_fraction)
-
-
 def _common_regions(
     route: frozenset[str], workspace: frozenset[str]
 ) -> frozenset[str]:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,8 +10,8 @@
 
 from pollenseam import buckets
 from pollenseam import controlvm
-from pollenseam import entryvm
 from pollenseam import leases
+from pollenseam import overdrafts
 from pollenseam import shares
 
 RATE = 10.0
@@ -217,7 +217,9 @@
     )
     holders = [f"v{n}" for n in range(11)]
     accounts = {name: buckets.Account(0.0) for name in holders}
-    overdraft_limits = entryvm.overdraft(rate, max_overdraft, len(holders), 0.0)
+    overdraft_limits = overdrafts.overdraft(
+        rate, max_overdraft, len(holders), 0.0
+    )
     served = refused = 0
     waiting: list[tuple[str, float]] = []
     for step in range(6000):
@@ -260,7 +262,9 @@
     )
     holders = [f"v{n}" for n in range(11)]
     accounts = {name: buckets.Account(0.0) for name in holders}
-    overdraft_limits = entryvm.overdraft(rate, max_overdraft, len(holders), 0.0)
+    overdraft_limits = overdrafts.overdraft(
+        rate, max_overdraft, len(holders), 0.0
+    )
     served = []
     for step in range(4400):
         now = step / 100
@@ -420,7 +424,7 @@
     def _take(self, account: buckets.Account, now: float) -> bool:
         chance = self.generator.random()
         vms = len(self.tables)
-        overdraft_limits = entryvm.overdraft(
+        overdraft_limits = overdrafts.overdraft(
             self.limit, self.max_overdraft, vms, chance
         )
         return account.take(overdraft_limits, now)
