--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -10,6 +10,8 @@
 CONTACT_SECONDS = 3.0
 MEASURE_SECONDS = 3.0
 CALLERS = 2
+# Objects that the requests concern; each has an upstream of its own.
+OBJECTS = 12
 # The rule asks for two thirds of what the others serve.
 MIN_SERVED_RATIO = 2 / 3
 
@@ -24,8 +26,12 @@
             counts[0] += 1
             path = f"/a/{number}" if counts[0] % 3 else "/b/1"
             method = "GET" if counts[0] % 3 else "POST"
+            cookie = f"X-Affinity-Key={counts[0] % OBJECTS}"
             status, _, _ = await cluster.request(
-                path, entry_index=entry_index, method=method
+                path,
+                entry_index=entry_index,
+                method=method,
+                headers={"Cookie": cookie},
             )
             counts[1] += status == 200
             await asyncio.sleep(0.03)
--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -83,6 +83,22 @@
         assert log.count("event=service-unreached") <= 3
 
 
+async def test_kept_connections_that_live_on_are_no_way_for_all_calls(tmp_path):
+    """Guards against calls that wait for connects beside others that run.
+
+    New connections hang. The kept ones to half of the upstreams are reset, the
+    others live on.
+    """
+    async with cuts.running_cluster(tmp_path) as cluster:
+        await served_ratios(cluster, [0], 1.0)
+        cluster.cut(0, "hang", "live")
+        for server in cluster.servers[:2]:
+            server.proxy.reset(cluster.entry_vms[0].ip)
+        await served_ratios(cluster, [0], test_cut_off.CONTACT_SECONDS)
+        [ratio] = await served_ratios(cluster, [0])
+        assert ratio >= MIN_SERVED_RATIO
+
+
 async def test_a_service_that_is_down_for_all_makes_no_vm_leave(tmp_path):
     """Guards against VMs that all call themselves cut off, and relay in herds.
 
