LOST: calls that are cancelled, and what a stop closes, are logged and counted

The record shows requests that were passed on and cut; our own logs had no line for a call whose connection was lost, nor for the connections that a stop closes, so the three hypotheses could not be told apart from logs.

Added: outcome cancelled or cancelled-in-reply of an attempt (log line and counter), abandoned calls (log line with held time and whether the VM leaves, counter), one line at the close of idle connections with the numbers of idle and busy ones.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -273,6 +273,10 @@
             raise errors.refuse(
                 errors.Kind.DEADLINE, "no reply came in time", "unknown"
             ) from None
+        except asyncio.CancelledError:
+            outcome = "cancelled" if response is None else "cancelled-in-reply"
+            self._record_attempt(active_call, upstream, outcome, started, "")
+            raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             upstream.record_unreachable(self.now())
             if isinstance(error, BREAKS):
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -417,6 +417,9 @@
         except errors.RefusedError as error:
             self._record_refusal(call, error.refusal)
             raise
+        except asyncio.CancelledError:
+            self._record_abandoned(call)
+            raise
         finally:
             self.in_flight -= 1
 
@@ -495,6 +498,20 @@
             call.route, self.now() - call.arrived_at
         )
 
+    def _record_abandoned(self, call: calls.Call) -> None:
+        """Counts and logs a call whose connection was lost before a reply."""
+        now = self.now()
+        self.metrics.answers.add(call.route, "abandoned")
+        self.log.emit_often(
+            "abandoned",
+            request=call.id,
+            route=call.route or None,
+            held_seconds=now - call.arrived_at,
+            left_seconds=call.deadline - now,
+            leaving=self.is_leaving,
+            settings_index=self.registry.index,
+        )
+
     def record_unparsed(self, id: str, refusal: errors.Refusal) -> None:
         """Counts and logs a request that was refused while being received.
 
--- a/src/pollenseam/httpserver.py
+++ b/src/pollenseam/httpserver.py
@@ -78,19 +78,25 @@
         finally:
             self._busy.discard(connection)
 
-    def stop_accepting(self) -> None:
+    def stop_accepting(self) -> tuple[int, int]:
         """Accepts neither connections nor further requests on open ones.
 
         Idle connections are closed at once, the others after the request in
         progress.
+
+        Returns:
+            The number of idle connections, and of the others.
         """
         if self.listener is not None:
             self.listener.close()
-        for connection in self.web_server.connections:
+        connections = self.web_server.connections
+        idle = [c for c in connections if c not in self._busy]
+        for connection in connections:
             if connection in self._busy:
                 connection.close()
             else:
                 connection.force_close()
+        return len(idle), len(connections) - len(idle)
 
     async def close(self, grace_seconds: float) -> None:
         """Stops accepting, and closes all connections.
