--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,6 +1,8 @@
 """HTTP server: idle and busy connections at a planned stop."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 from aiohttp import web
@@ -16,16 +18,28 @@
     def __init__(self):
         self.may_answer = asyncio.Event()
         self.started = asyncio.Event()
+        self.reads_body = False
+        self.answer_bytes = 100_000
+        self.cancelled = 0
         self.server = httpserver.HttpServer(self.answer, 10.0, 8192, 100)
 
     async def answer(self, request):
         self.started.set()
-        await self.may_answer.wait()
-        return web.Response(text="x" * 100_000)
+        try:
+            await self.may_answer.wait()
+            if self.reads_body:
+                await request.read()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return web.Response(text="x" * self.answer_bytes)
+
+    @property
+    def address(self):
+        return self.server.listener.sockets[0].getsockname()
 
     async def connect(self):
-        address = self.server.listener.sockets[0].getsockname()
-        return await asyncio.open_connection(*address)
+        return await asyncio.open_connection(*self.address)
 
 
 @pytest.fixture
@@ -73,3 +87,132 @@
         await writer.wait_closed()
         while site.server._busy:
             await asyncio.sleep(0.01)
+
+
+class HeldUpCaller:
+    """A caller whose bytes arrive while the server's event loop is held up."""
+
+    def __init__(self, site):
+        self.site = site
+        self.socket = socket.create_connection(site.address)
+        self.socket.setblocking(False)
+
+    def send(self, data):
+        """Sends bytes at once, without a turn of the event loop."""
+        self.socket.sendall(data)
+
+    async def read_to_end(self):
+        """Returns all that the server sends until it ends the connection."""
+        reader, writer = await asyncio.open_connection(sock=self.socket)
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+
+async def held_up_callers(site, count):
+    """Returns callers with a kept connection that has been answered once."""
+    site.may_answer.set()
+    loop = asyncio.get_running_loop()
+    callers = []
+    for _ in range(count):
+        caller = HeldUpCaller(site)
+        caller.send(REQUEST)
+        received = b""
+        while not received.endswith(b"x" * 100_000):
+            received += await loop.sock_recv(caller.socket, 200_000)
+        callers.append(caller)
+    return callers
+
+
+async def test_a_request_that_was_read_at_a_stop_is_answered(site):
+    """Guards against a read request whose handler begins after the close.
+
+    The turn of the event loop in which the request is read also ends the wait
+    of the task that stops the server.
+    """
+    async with asyncio.timeout(20):
+        callers = await held_up_callers(site, 5)
+
+        def hold_up():
+            for caller in callers:
+                caller.send(REQUEST)
+            time.sleep(0.03)
+
+        asyncio.get_running_loop().call_soon(hold_up)
+        await asyncio.sleep(0.01)
+        await site.server.close(5.0)
+        for caller in callers:
+            assert (await caller.read_to_end()).endswith(b"x" * 100_000)
+        assert site.cancelled == 0
+
+
+async def test_a_request_that_has_arrived_unread_at_a_stop_is_answered(site):
+    """Guards against the close of a connection that has bytes to be read."""
+    async with asyncio.timeout(20):
+        callers = await held_up_callers(site, 5)
+        for caller in callers:
+            caller.send(REQUEST)
+        await site.server.close(5.0)
+        for caller in callers:
+            assert (await caller.read_to_end()).endswith(b"x" * 100_000)
+
+
+async def test_a_connection_not_accepted_yet_at_a_stop_is_answered(site):
+    """Guards against a reset of connections that wait to be accepted."""
+    site.may_answer.set()
+    async with asyncio.timeout(20):
+        callers = [HeldUpCaller(site) for _ in range(5)]
+        for caller in callers:
+            caller.send(REQUEST)
+        await site.server.close(5.0)
+        for caller in callers:
+            assert (await caller.read_to_end()).endswith(b"x" * 100_000)
+
+
+async def test_a_request_whose_rest_arrives_after_a_stop_is_answered(site):
+    """Guards against the close of a connection while a request arrives."""
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc"
+    site.reads_body = True
+    async with asyncio.timeout(20):
+        callers = await held_up_callers(site, 2)
+        callers[0].send(head)
+        callers[1].send(head[:30])
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(site.server.close(5.0))
+        await asyncio.sleep(0.1)
+        callers[0].send(b"def")
+        callers[1].send(head[30:] + b"def")
+        for caller in callers:
+            assert (await caller.read_to_end()).endswith(b"x" * 100_000)
+        await closing
+
+
+async def test_a_stop_lasts_until_slow_callers_have_the_whole_answer(site):
+    """Guards against an exit with parts of an answer in the send buffer."""
+    site.may_answer.set()
+    site.answer_bytes = 8_000_000
+    async with asyncio.timeout(20):
+        caller = HeldUpCaller(site)
+        caller.send(REQUEST)
+        await site.started.wait()
+        closing = asyncio.create_task(site.server.close(10.0))
+        await asyncio.sleep(0.3)
+        assert not closing.done()
+        assert (await caller.read_to_end()).endswith(b"x" * 8_000_000)
+        await closing
+
+
+async def test_a_stop_ends_in_time_whatever_callers_do(site):
+    """A caller that never completes a request, and one never answered."""
+    async with asyncio.timeout(20):
+        [slow] = await held_up_callers(site, 1)
+        site.may_answer.clear()
+        slow.send(b"GET / HT")
+        waiting = HeldUpCaller(site)
+        waiting.send(REQUEST)
+        site.started.clear()
+        await site.started.wait()
+        await site.server.close(0.3)
+        assert await slow.read_to_end() == b""
+        assert await waiting.read_to_end() == b""
