--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -22,6 +22,7 @@
 from pollenseam import routing
 from pollenseam import shares
 from pollenseam import steering
+from pollenseam import stopping
 from pollenseam import tasks
 from pollenseam import vm
 from pollenseam import workestimates
@@ -39,8 +40,6 @@
 # Part of a rate's tolerated overdraft that entry VMs may use while no lender
 # answers.
 OUTAGE_OVERDRAFT_RATIO = 0.2
-# Retry-After of a VM that is about to stop; other VMs can serve at once.
-STOPPING_RETRY_SECONDS = 0.05
 
 
 class Settings:
@@ -123,8 +122,7 @@
         shares: Leased shares of the workspaces' rates.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
-        stop_deadline: Time in seconds at which this VM stops; infinite unless
-            it is leaving.
+        stop_deadline: When this VM stops, if it is leaving.
         in_flight: Number of calls being served.
         metrics: Counters and latencies of this VM.
     """
@@ -164,7 +162,7 @@
             crashwatch.CrashWatch(log, self.now, self._record_crash),
         )
         self.is_leaving = False
-        self.stop_deadline = float("inf")
+        self.stop_deadline = stopping.StopDeadline()
         self.in_flight = 0
         self._avoided_until: dict[str, float] = {}
         self._tasks = tasks.Group(log)
@@ -185,7 +183,7 @@
                 Calls that may take longer are refused from now on.
         """
         self.is_leaving = True
-        self.stop_deadline = stop_deadline
+        self.stop_deadline.set(stop_deadline)
         self.shares.wake.set()
 
     async def stop(self) -> None:
@@ -444,12 +442,7 @@
             workspace_regions = frozenset(workspace.allowed_regions)
             regions = _common_regions(regions, workspace_regions)
         deadline = min(call.deadline, call.arrived_at + route.timeout_seconds)
-        if deadline > self.stop_deadline:
-            raise errors.refuse(
-                errors.Kind.STOPPING,
-                "this VM stops before the request's time is over",
-                retry_after=STOPPING_RETRY_SECONDS,
-            )
+        self.stop_deadline.check(deadline)
         service = named_route.next_service()
         pool = self.pools.get(service)
         if pool is None:
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -210,15 +210,24 @@
 
     async def exchange(self, path="/a/1", key="k1"):
         """Sends a request; returns the head and body of the answer."""
+        self.writer.write(self.head("GET", path, key=key))
+        return await self.read_answer()
+
+    def head(self, method, path, *more_lines, key="k1"):
+        """Returns the head of a request with the next id."""
         self.cluster.request_count += 1
         lines = [
-            f"GET {path} HTTP/1.1",
+            f"{method} {path} HTTP/1.1",
             f"Host: {HOST}",
             f"X-Request-Id: q{self.cluster.request_count}",
             "X-Deadline-Ms: 3000",
             f"Authorization: Bearer {key}",
+            *more_lines,
         ]
-        self.writer.write("\r\n".join([*lines, "", ""]).encode())
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    async def read_answer(self):
+        """Returns the head and body of the next answer."""
         head = await self.reader.readuntil(b"\r\n\r\n")
         [length] = re.findall(rb"(?i)content-length: (\d+)", head)
         return head + await self.reader.readexactly(int(length))
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -85,7 +85,7 @@
         await site.started.wait()
         writer.close()
         await writer.wait_closed()
-        while site.server._busy:
+        while site.server.web_server.connections:
             await asyncio.sleep(0.01)
 
 
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -73,3 +73,64 @@
         assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
         assert b"connection: close" in answer.lower()
     assert await process.wait() == 0
+
+
+async def send_head_and_half_the_body(cluster):
+    """Returns a connection on which the second half of a body is missing."""
+    [connection] = await open_connections(cluster, 1)
+    head = connection.head("POST", "/b/1", "Content-Length: 6")
+    connection.writer.write(head + b"abc")
+    return connection
+
+
+async def test_bodies_that_arrive_during_a_stop(cluster):
+    """Guards against a close while the body of a request is arriving.
+
+    What arrives in time is served; the rest is refused, and has not run.
+    """
+    await cluster.patch(2, timeout_s=5.0)
+    in_time = await send_head_and_half_the_body(cluster)
+    too_late = await send_head_and_half_the_body(cluster)
+    entry = cluster.entry_vms[0]
+    await begin_stop(cluster)
+    while "event=connections-closed" not in entry.read_log():
+        await asyncio.sleep(0.02)
+    in_time.writer.write(b"def")
+    assert (await in_time.read_answer()).endswith(b"done abcdef")
+    answer = await too_late.read_answer()
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"connection: close" in answer.lower()
+    too_late.writer.close()
+    assert await entry.process.wait() == 0
+
+
+@pytest.mark.parametrize("disturbance", ["term", "hup", "patch"])
+async def test_a_stop_beside_other_events(cluster, disturbance):
+    """Requests on kept connections are answered until the VM closes them."""
+    connections = await open_connections(cluster, 8)
+    process = cluster.entry_vms[0].process
+    await begin_stop(cluster)
+    if disturbance == "term":
+        process.send_signal(signal.SIGTERM)
+    elif disturbance == "hup":
+        process.send_signal(signal.SIGHUP)
+    else:
+        assert (await cluster.patch(2, timeout_s=1.0))[0] == 200
+    for connection in connections:
+        answer = await connection.exchange()
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in answer.lower()
+        assert await connection.reader.read() == b""
+        await asyncio.sleep(0.1)
+    assert await process.wait() == 0
+
+
+async def test_sigterm_while_the_program_starts(cluster):
+    entry = cluster.entry_vms[0]
+    await entry.kill()
+    await entry.start()
+    for _ in range(3):
+        if entry.process.returncode is None:
+            entry.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+    assert await entry.process.wait() in (0, -signal.SIGTERM)
