Control program: calls in progress end before the replica at a planned stop

Its stop also cancelled the replica's tasks before it stopped serving other VMs, so a change that another control VM had passed to this one waited for a replica that no longer ran, until the call was cut.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -58,6 +58,8 @@
 # Burst per entry VM below which a workspace's burst is not split into shares:
 # smaller shares run out by chance.
 MIN_SHARE_BURST = 3.0
+# Time that calls of other VMs in progress get at a planned stop.
+CLOSE_SECONDS = 0.3
 # Part of the permitted overdraft that is lent.
 LENT_OVERDRAFT_RATIO = 0.4
 # Nothing is lent of a resource without a limit.
@@ -207,10 +209,13 @@
         self._tasks.spawn(self._follow_leader())
 
     async def stop(self) -> None:
-        """Transfers leadership and stops the VM."""
+        """Transfers leadership and stops the VM.
+
+        Calls of other VMs in progress end before the replica that they need.
+        """
         await self.replica_runner.transfer_leadership()
+        await self.server.stop(CLOSE_SECONDS)
         self._tasks.cancel()
-        await self.server.stop(0.1)
         await self.peers.close()
 
     def _open(self) -> replicarunner.ReplicaRunner:
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import re
@@ -233,6 +234,32 @@
         return head + await self.reader.readexactly(int(length))
 
 
+class ControlConnection:
+    """A kept connection of an operator to a control VM."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, machine):
+        return cls(*await asyncio.open_connection(machine.ip, 7101))
+
+    async def patch(self, version):
+        """Sends `initial_patch`; returns the status and the decoded body."""
+        body = json.dumps(initial_patch(version)).encode()
+        lines = [
+            "POST /v1/rpc?call=config.patch HTTP/1.1",
+            "Host: control",
+            f"Content-Length: {len(body)}",
+        ]
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        [length] = re.findall(rb"(?i)content-length: (\d+)", head)
+        answer = await self.reader.readexactly(int(length))
+        return int(head.split()[1]), json.loads(answer)
+
+
 class Cluster:
     """Control VMs, entry VMs, stub upstreams and an HTTP client session."""
 
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -134,3 +134,42 @@
             entry.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.2)
     assert await entry.process.wait() in (0, -signal.SIGTERM)
+
+
+async def test_changes_at_the_stop_of_the_leader_are_answered(tmp_path):
+    """Guards against orders that a stopping control VM has and that it drops.
+
+    They arrive on kept connections while the VM is held up at SIGTERM.
+    """
+    async with machines.running_cluster(tmp_path, entry_count=0) as cluster:
+        leader = await find_leader(cluster)
+        connections = []
+        for version in range(2, 8):
+            connection = await machines.ControlConnection.open(leader)
+            status, _ = await connection.patch(version)
+            assert status == 200
+            connections.append(connection)
+        await freeze(leader.process)
+        leader.process.send_signal(signal.SIGTERM)
+        answers = [
+            asyncio.create_task(connection.patch(version))
+            for version, connection in enumerate(connections, 8)
+        ]
+        await asyncio.sleep(0.1)
+        leader.process.send_signal(signal.SIGCONT)
+        for answer in answers:
+            assert (await answer)[0] in (200, 503)
+        assert await leader.process.wait() == 0
+        status, _ = await cluster.patch(20)
+        assert status == 200
+
+
+async def find_leader(cluster):
+    """Returns the control VM that leads."""
+    while True:
+        for machine in cluster.control_vms:
+            url = f"http://{machine.ip}:7106/"
+            async with cluster.session.get(url) as response:
+                if "pollenseam_is_leader 1" in await response.text():
+                    return machine
+        await asyncio.sleep(0.05)
