Daemon: one close of callers' connections, announced in all answers

The cause of LOST, sought in the daemon: the same server class, stopped twice (stop_accepting, a wait while requests were in flight, a close with 0.5 s). A request that was read between the two, or whose body was arriving, was not in flight yet and was cut.

From SIGTERM on each answer closes its connection, as those of the users' programs do, so callers with kept connections go elsewhere before the close. test_answers_of_a_stopping_vm_close_their_connections fails on the code before (no Connection header).

--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -37,7 +37,7 @@
 
 # Time within which a stop lets requests in progress finish.
 STOP_TIMEOUT_SECONDS = 60.0
-# Time for connections to close once their requests have finished.
+# Time for connections to close, whatever is left of the stop.
 CLOSE_GRACE_SECONDS = 0.5
 KEEP_ALIVE_SECONDS = 75.0
 # Time for the first renewals after the leases of an old leader have expired.
@@ -250,11 +250,11 @@
         local_vm.lifecycle.fire("leave")
         deadline = local_vm.now() + STOP_TIMEOUT_SECONDS
         local_vm.stop_deadline = deadline
+        self._http_server.closes_connections = True
         self.log.emit("stopping", in_flight=local_vm.in_flight)
         await self.gossiper.broadcast_state()
         await self._wait_for_lookup_expiry(deadline)
-        self._http_server.stop_accepting()
-        await self._drain_requests(deadline)
+        await self._close_connections(deadline)
         await self.idempotency_handler.drain(deadline)
         await self.renewer.release()
         if local_vm.replica_runner is not None:
@@ -278,10 +278,13 @@
         while self.vm.now() < expire_at:
             await asyncio.sleep(0.05)
 
-    async def _drain_requests(self, deadline: float) -> None:
-        while self.vm.in_flight > 0 and self.vm.now() < deadline:
-            await asyncio.sleep(0.02)
-        await self._http_server.close(CLOSE_GRACE_SECONDS)
+    async def _close_connections(self, deadline: float) -> None:
+        """Closes callers' connections once their requests are answered."""
+        idle, busy = self._http_server.stop_accepting()
+        self.log.emit("connections-closed", idle=idle, busy=busy)
+        left_seconds = max(CLOSE_GRACE_SECONDS, deadline - self.vm.now())
+        cut = await self._http_server.close(left_seconds)
+        self.log.emit("callers-gone", cut=cut)
 
     async def _close(self) -> None:
         for task in self._tasks:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -400,3 +400,18 @@
     headers = {"Request-Timeout-Ms": "500"}
     async with bench.request(headers=headers) as response:
         assert response.status == 200
+
+
+async def test_answers_of_a_stopping_vm_close_their_connections(tmp_path):
+    """Guards against callers that find out from a cut request."""
+    async with harness.running(tmp_path) as bench:
+        await bench.add_upstream()
+        async with bench.request() as response:
+            assert response.status == 200
+            assert "Connection" not in response.headers
+        stopping = asyncio.create_task(bench.daemon.stop())
+        await bench.until(lambda: bench.daemon.vm.lifecycle.state == "leaving")
+        async with bench.request() as response:
+            assert response.status == 200
+            assert response.headers["Connection"] == "close"
+        await stopping
