Forwarder: a request's fingerprint is computed once

A request was digested once at each look at it: up to four times while a request is suspected, body included. It is kept now, as calls.ActiveCall keeps it. No behaviour changes.

--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -80,6 +80,7 @@
         "attempt",
         "breaks",
         "is_suspect",
+        "_fingerprint",
     )
 
     def __init__(
@@ -107,6 +108,7 @@
         self.attempt = ""
         self.breaks = 0
         self.is_suspect = False
+        self._fingerprint = b""
 
     @property
     def may_resend(self) -> bool:
@@ -116,16 +118,19 @@
 
     @property
     def fingerprint(self) -> bytes:
-        """Fingerprint of the request; b"" if its body is streamed."""
-        if self.body is None:
-            return b""
-        return fingerprints.fingerprint(
-            self.request.method,
-            self.request.headers["Host"],
-            self.target,
-            self.workspace,
-            self.body,
-        )
+        """Fingerprint of the request; b"" if its body is streamed.
+
+        Computed when it is first needed, which is after the body was buffered.
+        """
+        if not self._fingerprint and self.body is not None:
+            self._fingerprint = fingerprints.fingerprint(
+                self.request.method,
+                self.request.headers["Host"],
+                self.target,
+                self.workspace,
+                self.body,
+            )
+        return self._fingerprint
 
 
 class _ShedError(Exception):
