Watchlist: one look-up and refusal of a blocked request

Dispatcher and Forwarder each looked a request up and refused it. The daemon's refusal names the fingerprint now, as an entry VM's did; else no behaviour changes.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -127,19 +127,9 @@
 
     def _check_crashes(self, active_call: calls.ActiveCall) -> None:
         """Refuses a blocked call, and sends a suspect one with care."""
-        watchlist = self.watchlist
-        if watchlist.is_empty:
+        if self.watchlist.is_empty:
             return
-        now = self.now()
-        fingerprint = active_call.fingerprint
-        until = watchlist.blocked_until(fingerprint, now)
-        if until is not None:
-            raise errors.refuse(
-                errors.Kind.CRASHES_UPSTREAMS,
-                f"each upstream that ran request {fingerprint.hex()} crashed",
-                retry_after=until - now,
-            )
-        if watchlist.crash_count(fingerprint):
+        if self.watchlist.check(active_call.fingerprint, self.now()):
             active_call.is_risky = True
             active_call.max_runs = 1
 
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -241,16 +241,9 @@
         watchlist = self.vm.exchange.watchlist
         if watchlist.is_empty or not exchange.fingerprint:
             return
-        now = self.vm.now()
-        until = watchlist.blocked_until(exchange.fingerprint, now)
-        if until is not None:
-            raise errors.refuse(
-                errors.Kind.CRASHES_UPSTREAMS,
-                "each upstream that ran the request crashed",
-                retry_after=until - now,
-            )
-        count = watchlist.crash_count(exchange.fingerprint)
-        exchange.is_suspect = count > 0
+        exchange.is_suspect = watchlist.check(
+            exchange.fingerprint, self.vm.now()
+        )
 
     def _record_crash(self, run: crashwatch.CrashedRun) -> None:
         self.vm.exchange.watchlist.record_crash(run)
--- a/src/pollenseam/suspects.py
+++ b/src/pollenseam/suspects.py
@@ -4,6 +4,7 @@
 
 from pollenseam import crashes
 from pollenseam import crashwatch
+from pollenseam import errors
 
 # Reports that one message carries; the others follow with the next one.
 MAX_REPORTED = 128
@@ -104,6 +105,21 @@
         own = self.own_counts.get(fingerprint, 0)
         return max(own, known.crashes if known is not None else 0)
 
+    def check(self, fingerprint: bytes, now: float) -> bool:
+        """Returns whether a request may have crashed upstreams before.
+
+        Raises:
+            RefusedError: The request is blocked for crashing upstreams.
+        """
+        until = self.blocked_until(fingerprint, now)
+        if until is not None:
+            raise errors.refuse(
+                errors.Kind.CRASHES_UPSTREAMS,
+                f"each upstream that ran request {fingerprint.hex()} crashed",
+                retry_after=until - now,
+            )
+        return self.crash_count(fingerprint) > 0
+
     def blocked_until(self, fingerprint: bytes, now: float) -> float | None:
         """Returns until when a request is blocked, or None if it is not."""
         known = self.known.get(fingerprint)
