Crash watch: one check for upstreams that leave as planned

It stood at the evidence in EntryVm and at the break in the forwarder. Now the watch asks at both moments: no connection is opened to an upstream that is leaving, and one that said so only after the break is cleared as well. For an entry VM new is the first half, for the daemon the second.

--- a/src/pollenseam/crashwatch.py
+++ b/src/pollenseam/crashwatch.py
@@ -2,7 +2,8 @@
 
 A broken connection alone is no evidence: connections are also reset on the way,
 or closed by an upstream that goes on. If a new connection is refused, or the
-upstream announces a later start, the upstream has ended.
+upstream announces a later start, the upstream has ended. An upstream that is
+leaving ends as planned, so its end counts for nothing.
 """
 
 import asyncio
@@ -95,6 +96,7 @@
         log: Event log.
         now: Returns the time in seconds.
         on_crash: Called with each request that an upstream had when it ended.
+        is_leaving: Returns whether an upstream is about to stop as planned.
         watched: Upstreams by id.
     """
 
@@ -103,10 +105,12 @@
         log: events.EventLog,
         now: Clock,
         on_crash: Callable[[CrashedRun], None],
+        is_leaving: Callable[[UpstreamStart], bool],
     ) -> None:
         self.log = log
         self.now = now
         self.on_crash = on_crash
+        self.is_leaving = is_leaving
         self.watched: dict[str, Watched] = {}
         self._tasks = tasks.Group(log)
 
@@ -116,6 +120,8 @@
 
     def record_break(self, fingerprint: bytes, upstream: UpstreamStart) -> None:
         """Records that a connection broke while an upstream had a request."""
+        if self.is_leaving(upstream):
+            return
         now = self.now()
         self._drop_old(now)
         watched = self.watched.get(upstream.id)
@@ -175,8 +181,10 @@
         self._report(watched)
 
     def _report(self, watched: Watched) -> None:
-        for run in watched.runs:
-            self.on_crash(run)
+        # It may have announced its stop after the connection broke.
+        if not self.is_leaving(watched.upstream):
+            for run in watched.runs:
+                self.on_crash(run)
         watched.runs.clear()
 
     def _drop_old(self, now: float) -> None:
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -159,7 +159,9 @@
             settings.retry_window_seconds,
             self.exchange.stated_limits,
             self.exchange.watchlist,
-            crashwatch.CrashWatch(log, self.now, self._record_crash),
+            crashwatch.CrashWatch(
+                log, self.now, self._record_crash, self._is_leaving
+            ),
         )
         self.is_leaving = False
         self.stop_deadline = stopping.StopDeadline()
@@ -372,12 +374,12 @@
             rate = service.cold_rate if service is not None else 0.0
             pool.set_cold_limit(rate, vms)
 
+    def _is_leaving(self, upstream: crashwatch.UpstreamStart) -> bool:
+        latest = self.registry.upstreams.get(upstream.id)
+        return latest is not None and latest.state == registry.LEAVING
+
     def _record_crash(self, run: crashwatch.CrashedRun) -> None:
         """Records that an upstream ended while it had a request."""
-        latest = self.registry.upstreams.get(run.upstream)
-        if latest is not None and latest.state == registry.LEAVING:
-            # It ended as planned.
-            return
         self.log.emit_often(
             "run-ended-by-crash",
             fingerprint=run.fingerprint.hex(),
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -199,7 +199,7 @@
         self.active_shifts: dict[str, shifts.ActiveShift] = {}
         self.session = sessions.open_session()
         self.crash_watch = crashwatch.CrashWatch(
-            local_vm.log, local_vm.now, self._record_crash
+            local_vm.log, local_vm.now, self._record_crash, self._is_leaving
         )
 
     async def close(self) -> None:
@@ -245,6 +245,12 @@
             exchange.fingerprint, self.vm.now()
         )
 
+    def _is_leaving(self, upstream: crashwatch.UpstreamStart) -> bool:
+        known = self.vm.directory.upstreams.get((upstream.service, upstream.id))
+        if known is None:
+            return False
+        return known.record.state != lifecycles.UpstreamState.SERVING
+
     def _record_crash(self, run: crashwatch.CrashedRun) -> None:
         self.vm.exchange.watchlist.record_crash(run)
         self.vm.lease_wake.set()
@@ -255,8 +261,7 @@
         """Records that the connection broke after a request was sent."""
         exchange.breaks += 1
         record = upstream.record
-        is_leaving = record.state != lifecycles.UpstreamState.SERVING
-        if is_leaving or not exchange.fingerprint:
+        if not exchange.fingerprint:
             return
         start = crashwatch.UpstreamStart(
             record.name, record.incarnation, record.service, record.address
--- a/tests/test_crashwatch.py
+++ b/tests/test_crashwatch.py
@@ -15,8 +15,11 @@
 
     def __init__(self):
         self.crashed = []
+        self.is_leaving = False
         log = events.open_log("e1", stream=io.StringIO())
-        self.watch = crashwatch.CrashWatch(log, time.monotonic, self.record)
+        self.watch = crashwatch.CrashWatch(
+            log, time.monotonic, self.record, lambda upstream: self.is_leaving
+        )
 
     def record(self, run):
         self.crashed.append((run.fingerprint, run.upstream))
@@ -76,3 +79,19 @@
     await recorder.wait_for_probes()
     recorder.watch.record_upstreams({"i1": record(address, started_ms=2)})
     assert recorder.crashed == [(b"a", "i1")]
+
+
+@pytest.mark.parametrize("is_leaving_at_the_break", [True, False])
+async def test_the_end_of_an_upstream_that_is_leaving_is_no_crash(
+    server, is_leaving_at_the_break
+):
+    """Guards against requests suspected because of a planned stop."""
+    recorder = Recorder()
+    address = address_of(server)
+    server.close()
+    await server.wait_closed()
+    recorder.is_leaving = is_leaving_at_the_break
+    recorder.watch.record_break(b"a", record(address))
+    recorder.is_leaving = True
+    await recorder.wait_for_probes()
+    assert recorder.crashed == []
