Records in the order of their revisions: one class

statedlimits.Table and crashes.Blocklist each kept a count of changes and a dictionary with the latest change last. revisions.Records does it for both. No behaviour changes.

--- a/src/pollenseam/crashes.py
+++ b/src/pollenseam/crashes.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from pollenseam import revisions
+
 MIN_CRASHES = 3
 # Ends of several upstreams within this time count as one: they have a common
 # cause, such as a rack that lost power.
@@ -75,7 +77,7 @@
         succeeded_at: Time of the last run that succeeded.
         blocked_until: Time until which the request is blocked.
         changed_at: Time of the last change.
-        revision: Revision of the blocklist at the last change.
+        revision: Revision of the suspects at the last change.
     """
 
     __slots__ = (
@@ -119,20 +121,18 @@
     """The leader's record of all suspects.
 
     Attributes:
-        suspects: Suspects by fingerprint, the latest change last.
+        suspects: Suspects by fingerprint.
         candidates: Fingerprints of suspects with new crashes.
         explained: Time of the block that explains a crash, by start of
             the upstream, the latest last.
-        revision: Number of changes.
     """
 
-    __slots__ = ("suspects", "candidates", "explained", "revision")
+    __slots__ = ("suspects", "candidates", "explained")
 
     def __init__(self) -> None:
-        self.suspects: dict[bytes, Suspect] = {}
+        self.suspects: revisions.Records[bytes, Suspect] = revisions.Records()
         self.candidates: set[bytes] = set()
         self.explained: dict[Start, float] = {}
-        self.revision = 0
 
     def record_success(self, fingerprint: bytes, now: float) -> None:
         """Clears a request, as a run of it succeeded."""
@@ -192,12 +192,10 @@
 
     def changes_since(self, revision: int, now: float) -> list[Suspicion]:
         """Returns what is known of the suspects that changed since then."""
-        changed: list[Suspicion] = []
-        for fingerprint, suspect in reversed(self.suspects.items()):
-            if suspect.revision <= revision:
-                break
-            changed.append(suspect.to_message(fingerprint, now))
-        return changed
+        return [
+            suspect.to_message(fingerprint, now)
+            for fingerprint, suspect in self.suspects.changed_since(revision)
+        ]
 
     def expire(self, now: float) -> None:
         """Drops suspects of which nothing has been heard for long."""
@@ -262,7 +260,5 @@
             self._touch(fingerprint, self.suspects[fingerprint], now)
 
     def _touch(self, fingerprint: bytes, suspect: Suspect, now: float) -> None:
-        self.revision += 1
-        suspect.revision = self.revision
         suspect.changed_at = now
-        self.suspects[fingerprint] = self.suspects.pop(fingerprint)
+        self.suspects.touch(fingerprint, suspect)
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -125,7 +125,9 @@
         self._adopt_crashes(report, now)
         known = report.known if report.known.term == term else Revisions()
         revisions = Revisions(
-            term, self.stated_limits.revision, self.blocklist.revision
+            term,
+            self.stated_limits.records.revision,
+            self.blocklist.suspects.revision,
         )
         return Update(
             revisions,
--- a/src/pollenseam/statedlimits.py
+++ b/src/pollenseam/statedlimits.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from pollenseam import revisions
+
 # A stated rate above this is no limit in practice, and probably a mistake.
 MAX_RATE = 1_000_000.0
 # A VM reports a rate again after this time even if it has not changed.
@@ -80,15 +82,13 @@
     at which they were read: the latest counts.
 
     Attributes:
-        records: Records by upstream id, the latest change last.
-        revision: Number of changes.
+        records: Records by upstream id.
     """
 
-    __slots__ = ("records", "revision")
+    __slots__ = ("records",)
 
     def __init__(self) -> None:
-        self.records: dict[str, Record] = {}
-        self.revision = 0
+        self.records: revisions.Records[str, Record] = revisions.Records()
 
     def in_force(self, upstream: str, started_ms: int) -> Record | None:
         """Returns the record of an upstream that states a limit, or None."""
@@ -110,15 +110,13 @@
         if old is not None and started_ms < old.started_ms:
             return False
         if old is None or started_ms > old.started_ms:
-            old = self.records[upstream] = Record(started_ms, NO_LIMIT, read_at)
+            old = Record(started_ms, NO_LIMIT, read_at)
         elif read_at < old.read_at:
             return False
         has_changed = old.rate != rate
         old.rate = rate
         old.read_at = read_at
-        self.revision += 1
-        old.revision = self.revision
-        self.records[upstream] = self.records.pop(upstream)
+        self.records.touch(upstream, old)
         return has_changed
 
     def adopt(self, statements: Iterable[StatedLimit], now: float) -> None:
@@ -162,12 +160,10 @@
 
     def changes_since(self, revision: int, now: float) -> list[StatedLimit]:
         """Returns the statements that were recorded after a revision."""
-        changed: list[StatedLimit] = []
-        for upstream, record in reversed(self.records.items()):
-            if record.revision <= revision:
-                break
-            changed.append(_to_message(upstream, record, now))
-        return changed
+        return [
+            _to_message(upstream, record, now)
+            for upstream, record in self.records.changed_since(revision)
+        ]
 
     def retain(self, upstreams: Container[str]) -> None:
         """Drops the records of all other upstreams."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -76,7 +76,7 @@
     for number in range(3):
         report(blocklist, DEADLY, f"i{number}", float(number))
     blocklist.block(2.0)
-    revision = blocklist.revision
+    revision = blocklist.suspects.revision
     report(blocklist, b"p", "i8", 3.0)
     report(blocklist, b"q", "i2", 3.0)
     changed = blocklist.changes_since(revision, 3.0)
