Hashes of the entry VMs are kept with the directory, not in each pool

Each pool hashed the names of all entry VMs again whenever the slots of a region changed, and each pool its own. They depend on the directory alone: the entry VM keeps them as pacing.Vms, renewed when the directory names other VMs, and all pools share them.

--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -16,6 +16,7 @@
 from pollenseam import leases
 from pollenseam import metrics
 from pollenseam import observations
+from pollenseam import pacing
 from pollenseam import peers
 from pollenseam import registry
 from pollenseam import registrysync
@@ -114,6 +115,7 @@
         receiver: Copy of the registry in force on this VM, and the transfer
             in progress.
         directory: Control VMs and entry VMs of the fleet.
+        vms: The directory's entry VMs, which share the rates of upstreams.
         table: Routes and keys, compiled from the registry's items.
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
@@ -141,6 +143,7 @@
         self.started_ms = time.time_ns() // 1_000_000
         self.receiver = registrysync.Receiver()
         self.directory = controlmessages.Directory()
+        self.vms = pacing.Vms({settings.name: settings.region})
         self.table = routing.Table()
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = workestimates.WorkEstimates()
@@ -295,9 +298,7 @@
     ) -> None:
         if response.directory is not None:
             if response.directory.version > self.directory.version:
-                self.directory = response.directory
-                self.dispatcher.vm_count = max(1, len(self.directory.entries))
-                self._divide_cold_rates()
+                self._adopt_directory(response.directory)
         if response.page is None:
             return
         update = self.receiver.receive(response.page, response.index)
@@ -307,6 +308,15 @@
             self._apply_update(update)
         self.freshness.record_age(sent_at, response.age_ms)
 
+    def _adopt_directory(self, directory: controlmessages.Directory) -> None:
+        self.directory = directory
+        self.dispatcher.vm_count = max(1, len(directory.entries))
+        regions = {e.name: e.region for e in directory.entries}
+        regions = regions or {self.settings.name: self.settings.region}
+        if regions != self.vms.regions:
+            self.vms = pacing.Vms(regions)
+        self._divide_cold_rates()
+
     def _apply_update(self, update: registrysync.Update) -> None:
         started_at = self.now()
         if update.is_whole or update.has_items:
@@ -367,12 +377,10 @@
         self._divide_cold_rates()
 
     def _divide_cold_rates(self) -> None:
-        vms = {e.name: e.region for e in self.directory.entries}
-        vms = vms or {self.settings.name: self.settings.region}
         for name, pool in self.pools.items():
             service = self.table.services.get(name)
             rate = service.cold_rate if service is not None else 0.0
-            pool.set_cold_limit(rate, vms)
+            pool.set_cold_limit(rate, self.vms)
 
     def _is_leaving(self, upstream: crashwatch.UpstreamStart) -> bool:
         latest = self.registry.upstreams.get(upstream.id)
--- a/src/pollenseam/pacing.py
+++ b/src/pollenseam/pacing.py
@@ -95,34 +95,44 @@
         self.filled_at = now
 
 
+class Vms:
+    """The entry VMs that share the rates of upstreams, of all services.
+
+    Attributes:
+        regions: Region of each entry VM, by name.
+        hashes: Hashes of the VMs' names, by region.
+    """
+
+    __slots__ = ("regions", "hashes")
+
+    def __init__(self, regions: dict[str, str]) -> None:
+        self.regions = regions
+        self.hashes: dict[str, list[int]] = {}
+        for name, region in regions.items():
+            self.hashes.setdefault(region, []).append(hashing.hash64(name))
+
+
 class Fleet:
-    """The entry VMs that share the rates of upstreams, as one of them sees it.
+    """The entry VMs and the room of one service, as one of them sees it.
 
     Attributes:
         name: Name of this VM.
-        regions: Region of each entry VM, by name.
+        vms: The entry VMs.
         room_ratios: Share of the slots divided by share of the demand, of each
             region. Regions below 1 depend on upstreams of other regions.
         own_hash: Hash of this VM's name; None if it is not among the VMs, as
             the directory does not have it yet.
-        hashes: Hashes of the VMs' names, by region.
     """
 
-    __slots__ = ("name", "regions", "room_ratios", "own_hash", "hashes")
+    __slots__ = ("name", "vms", "room_ratios", "own_hash")
 
     def __init__(
-        self,
-        name: str,
-        regions: dict[str, str],
-        room_ratios: dict[str, float],
+        self, name: str, vms: Vms, room_ratios: dict[str, float]
     ) -> None:
         self.name = name
-        self.regions = regions
+        self.vms = vms
         self.room_ratios = room_ratios
-        self.own_hash = hashing.hash64(name) if name in regions else None
-        self.hashes: dict[str, list[int]] = {}
-        for vm, region in regions.items():
-            self.hashes.setdefault(region, []).append(hashing.hash64(vm))
+        self.own_hash = hashing.hash64(name) if name in vms.regions else None
 
     def own_rank(self, region: str, upstream_hash: int) -> int:
         """Returns the position of this VM in the order for an upstream.
@@ -136,13 +146,14 @@
             upstream_hash: Hash of the upstream's id.
         """
         if self.own_hash is None:
-            return len(self.regions)
+            return len(self.vms.regions)
         position = hashing.mix(upstream_hash, SPARE_HASH) / hashing.MASK_64
         is_spare = position * self.room_ratios.get(region, 1.0) > 1.0
-        own_distance = self._distance(self.regions[self.name], region, is_spare)
+        own_region = self.vms.regions[self.name]
+        own_distance = self._distance(own_region, region, is_spare)
         own_order = _order(self.own_hash, upstream_hash)
         rank = 0
-        for vm_region, hashes in self.hashes.items():
+        for vm_region, hashes in self.vms.hashes.items():
             distance = self._distance(vm_region, region, is_spare)
             if distance < own_distance:
                 rank += len(hashes)
@@ -168,7 +179,7 @@
             accepted_rate: Rate that the upstream accepts from all VMs.
             silent_seconds: Time since any VM read a response of the upstream.
         """
-        senders = max(1, min(MAX_SENDERS, len(self.regions)))
+        senders = max(1, min(MAX_SENDERS, len(self.vms.regions)))
         rate = max(MIN_RATE, accepted_rate)
         if rank < senders:
             return rate / senders
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -202,7 +202,7 @@
         stated_limits: statedlimits.Table | None = None,
     ) -> None:
         self.upstreams: dict[str, upstreamstats.UpstreamStats] = {}
-        self.fleet = pacing.Fleet(name, {name: region}, {})
+        self.fleet = pacing.Fleet(name, pacing.Vms({name: region}), {})
         self.stated_limits = stated_limits or statedlimits.Table()
         self.region = region
         self.failure_domain = failure_domain
@@ -241,26 +241,26 @@
             self.upstreams[record.id] = stats
         room_ratios = rankings.room_ratios(self.upstreams.values(), regions)
         self.rankings.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
-        self._set_fleet(self.fleet.regions, room_ratios)
+        self._set_fleet(self.fleet.vms, room_ratios)
         if [*previous.values()] != [*self.upstreams.values()]:
             self.rankings.clear()
 
-    def set_cold_limit(self, rate: float, vms: dict[str, str]) -> None:
+    def set_cold_limit(self, rate: float, vms: pacing.Vms) -> None:
         """Sets the rate that cold upstreams accept and the VMs of the fleet.
 
         Args:
             rate: Requests per second that each cold upstream accepts from all
                 VMs together; 0 for no limit.
-            vms: Region of each entry VM.
+            vms: The entry VMs.
         """
         self.cold_rate = rate
         self._set_fleet(vms, self.fleet.room_ratios)
 
     def _set_fleet(
-        self, vms: dict[str, str], room_ratios: dict[str, float]
+        self, vms: pacing.Vms, room_ratios: dict[str, float]
     ) -> None:
         fleet = self.fleet
-        if vms != fleet.regions or room_ratios != fleet.room_ratios:
+        if vms is not fleet.vms or room_ratios != fleet.room_ratios:
             self.fleet = pacing.Fleet(fleet.name, vms, room_ratios)
 
     def _admits(
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -17,12 +17,13 @@
 def make_pools(vms, counts, rates):
     """Returns the pools of all VMs, all of which know the stated rates."""
     pools = []
+    sharing_vms = pacing.Vms(vms)
     for name, region in vms.items():
         pool = test_steering.pool_of(counts, region, name)
         pool.stated_limits = statedlimits.Table()
         for upstream, rate in rates.items():
             pool.stated_limits.record(upstream, 1, rate, 0.0)
-        pool.set_cold_limit(0.0, vms)
+        pool.set_cold_limit(0.0, sharing_vms)
         pools.append(pool)
     return pools
 
@@ -114,5 +115,24 @@
 
 
 def test_the_order_of_a_vm_outside_the_directory_is_last():
-    fleet = pacing.Fleet("new", VMS, {})
+    fleet = pacing.Fleet("new", pacing.Vms(VMS), {})
     assert fleet.own_rank("a", hashing.hash64("i1")) == len(VMS)
+
+
+def test_the_vms_are_hashed_once_for_all_services(monkeypatch):
+    """Guards against work on each change that grows with VMs times services.
+
+    The slots of a region change with each upstream that comes or goes.
+    """
+    vms = pacing.Vms(MANY_VMS)
+    pools = [test_steering.pool_of({"a1": 2, "b1": 2}) for _ in range(3)]
+    hashed = []
+    compute = hashing.hash64
+    monkeypatch.setattr(
+        hashing, "hash64", lambda name: hashed.append(name) or compute(name)
+    )
+    for pool in pools:
+        pool.set_cold_limit(3.0, vms)
+        records = [u.record for u in pool.upstreams.values()]
+        pool.update(records[1:], test_steering.REGIONS, 1.0)
+    assert set(hashed) <= {"v0"}
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -126,10 +126,11 @@
 
 def test_a_cold_upstream_gets_no_more_than_its_rate_from_all_vms():
     pools = [pool_of({"a1": 1}, name=f"v{n}") for n in range(11)]
+    vms = pacing.Vms({f"v{n}": "abc"[n % 3] for n in range(11)})
     for pool in pools:
         cold = record("a1-0", started_ms=2, cold_ms=3000)
         pool.update([cold], REGIONS, 0.0)
-        pool.set_cold_limit(3.0, {f"v{n}": "abc"[n % 3] for n in range(11)})
+        pool.set_cold_limit(3.0, vms)
     sent = []
     for now in (n / 50 for n in range(150)):
         for pool in pools:
@@ -163,7 +164,7 @@
     pool.update([cold, *records[1:]], REGIONS, 0.0)
     for _ in range(20):
         vms = {**vms, "v0": "ab"[vms["v0"] == "a"]}
-        pool.set_cold_limit(3.0, vms)
+        pool.set_cold_limit(3.0, pacing.Vms(vms))
         for number in range(40):
             pool.choose(requirements(object=str(number)), 0.0)
     assert set(computed) == {hashing.hash64("a1-0")}
