--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -120,7 +120,7 @@
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
         freshness: Age of the registry.
-        exchange: Observations at upstreams, shared by all VMs.
+        fleet_view: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
@@ -148,9 +148,9 @@
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = workestimates.WorkEstimates()
         self.freshness = freshness.Freshness()
-        self.exchange = observations.Exchange()
+        self.fleet_view = observations.FleetView()
         self.shares = shares.LeaseClient(
-            log, peer_client, self.now, lambda: self.own_record, self.exchange
+            log, peer_client, self.now, lambda: self.own_record, self.fleet_view
         )
         self.metrics = metrics.EntryMetrics()
         self.dispatcher = dispatcher.Dispatcher(
@@ -160,8 +160,8 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
-            self.exchange.stated_limits,
-            self.exchange.watchlist,
+            self.fleet_view.stated_limits,
+            self.fleet_view.watchlist,
             crashwatch.CrashWatch(
                 log, self.now, self._record_crash, self._is_leaving
             ),
@@ -367,12 +367,12 @@
                     settings.region,
                     settings.failure_domain,
                     self.work_estimates,
-                    self.exchange.stated_limits,
+                    self.fleet_view.stated_limits,
                 )
             pool.update(records, settings.regions, now)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
-        self.exchange.stated_limits.retain(self.registry.upstreams)
+        self.fleet_view.stated_limits.retain(self.registry.upstreams)
         self.dispatcher.crash_watch.record_upstreams(self.registry.upstreams)
         self._divide_cold_rates()
 
@@ -394,7 +394,7 @@
             upstream=run.upstream,
             age_ms=int((self.now() - run.broken_at) * 1000),
         )
-        self.exchange.watchlist.record_crash(run)
+        self.fleet_view.watchlist.record_crash(run)
         self.shares.wake.set()
 
     def _log_freshness(self) -> None:
@@ -543,7 +543,7 @@
                 "settings_age_seconds": self.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "entry_vms": len(self.directory.entries),
-                "stated_limits": self.exchange.stated_limits.count,
+                "stated_limits": self.fleet_view.stated_limits.count,
             }
         )
         return exposition + self.peers.traffic.expose()
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -238,7 +238,7 @@
 
     def _check_crashes(self, exchange: Exchange) -> None:
         """Refuses a request that is blocked for crashing upstreams."""
-        watchlist = self.vm.exchange.watchlist
+        watchlist = self.vm.fleet_view.watchlist
         if watchlist.is_empty or not exchange.fingerprint:
             return
         exchange.is_suspect = watchlist.check(
@@ -252,7 +252,7 @@
         return known.record.state != lifecycles.UpstreamState.SERVING
 
     def _record_crash(self, run: crashwatch.CrashedRun) -> None:
-        self.vm.exchange.watchlist.record_crash(run)
+        self.vm.fleet_view.watchlist.record_crash(run)
         self.vm.lease_wake.set()
 
     def _record_break(
@@ -508,7 +508,7 @@
             response.release()
         else:
             response.close()
-        watchlist = self.vm.exchange.watchlist
+        watchlist = self.vm.fleet_view.watchlist
         if is_complete and not watchlist.is_empty:
             watchlist.record_success(streaming.exchange.fingerprint)
         now = self.vm.now()
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -60,8 +60,8 @@
     suspicions: list[crashes.Suspicion]
 
 
-class Exchange:
-    """An entry VM's side of the exchange.
+class FleetView:
+    """What one entry VM knows of the observations of all VMs.
 
     Attributes:
         stated_limits: Rates stated by upstreams.
@@ -103,7 +103,7 @@
 
 
 class Board:
-    """The leader's side of the exchange.
+    """What the leader knows of the observations of all VMs.
 
     Attributes:
         stated_limits: Rates stated by upstreams.
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -69,7 +69,7 @@
 
     def _request(self, now: float) -> messages.LeaseRequest:
         demands = lending.to_demands(self.vm.lease_table.build_requests(now))
-        report = self.vm.exchange.build_report(self._is_full_report_due, now)
+        report = self.vm.fleet_view.build_report(self._is_full_report_due, now)
         return messages.LeaseRequest(self.vm.lease_holder, demands, 0, report)
 
     def _exchange_observations(
@@ -82,9 +82,10 @@
         update = answer.observed
         if update is None:
             return
-        exchange = self.vm.exchange
-        self._is_full_report_due = update.revisions.term != exchange.known.term
-        exchange.receive(request.observed, update, self.vm.now())
+        fleet_view = self.vm.fleet_view
+        known_term = fleet_view.known.term
+        self._is_full_report_due = update.revisions.term != known_term
+        fleet_view.receive(request.observed, update, self.vm.now())
 
     async def _send(
         self, request: messages.LeaseRequest
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -34,7 +34,7 @@
         peers: Client for calls to other VMs.
         now: Returns the time in seconds.
         own_record: Returns this VM's record, which every renewal carries.
-        exchange: Observations at upstreams that renewals carry.
+        fleet_view: Observations at upstreams that renewals carry.
         lease_table: Accounts by workspace.
         leader: Address of the leader, or "" if unknown.
         wake: Event that starts a renewal at once when it is set.
@@ -46,13 +46,13 @@
         peer_client: peers.Client,
         now: replicarunner.Clock,
         own_record: Callable[[], controlmessages.EntryVm],
-        exchange: observations.Exchange,
+        fleet_view: observations.FleetView,
     ) -> None:
         self.log = log
         self.peers = peer_client
         self.now = now
         self.own_record = own_record
-        self.exchange = exchange
+        self.fleet_view = fleet_view
         self.lease_table = buckets.LeaseTable()
         self.leader = ""
         self.wake = asyncio.Event()
@@ -95,7 +95,7 @@
             self.own_record(),
             demands,
             is_complete=is_full,
-            observed=self.exchange.build_report(is_full, sent_at),
+            observed=self.fleet_view.build_report(is_full, sent_at),
         )
         answer = await self._call_leader(request)
         if answer is None:
@@ -106,7 +106,7 @@
         deadline = sent_at + answer.ttl_ms / 1000
         now = self.now()
         if answer.observed is not None:
-            self.exchange.receive(request.observed, answer.observed, now)
+            self.fleet_view.receive(request.observed, answer.observed, now)
             self._log_observations(answer.observed)
         self._synced_leader = ""
         if answer.scarce_resources is not None:
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -57,7 +57,7 @@
         block_table: Regions of the client blocks in force.
         freshness: Tracks the age of the settings.
         lease_table: Leases of this VM.
-        exchange: Observations at upstreams, shared by all VMs.
+        fleet_view: Observations at upstreams, shared by all VMs.
         board: What the VMs observe at upstreams; used by the leader.
         pools: Pool of upstreams, by service path.
         metrics: Counters and latencies.
@@ -106,7 +106,7 @@
         self.block_table = lookups.compile_blocks({})
         self.freshness = freshness.Freshness()
         self.lease_table = buckets.LeaseTable()
-        self.exchange = observations.Exchange()
+        self.fleet_view = observations.FleetView()
         self.board = observations.Board(self._log_block)
         self.pools: dict[str, upstreams.Pool] = {}
         self.metrics = metrics.Metrics()
--- a/tests/test_daemon_crashes.py
+++ b/tests/test_daemon_crashes.py
@@ -58,7 +58,7 @@
     async with bench.request(path="/proper") as response:
         assert response.status in (502, 503)
     await bench.add_upstream("u1")
-    watchlist = bench.daemon.vm.exchange.watchlist
+    watchlist = bench.daemon.vm.fleet_view.watchlist
     await bench.until(lambda: not watchlist.is_empty)
     async with bench.request(path="/proper") as response:
         assert response.status == 200
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -8,18 +8,18 @@
     """Entry VMs and their leader; all calls arrive at once."""
 
     def __init__(self, count):
-        self.exchanges = [observations.Exchange() for _ in range(count)]
+        self.views = [observations.FleetView() for _ in range(count)]
         self.board = observations.Board(lambda fingerprint: None)
         self.term = 1
 
     def renew(self, now, is_full=False):
-        for exchange in self.exchanges:
-            report = exchange.build_report(is_full, now)
+        for view in self.views:
+            report = view.build_report(is_full, now)
             update = self.board.answer(report, self.term, now)
-            exchange.receive(report, update, now)
+            view.receive(report, update, now)
 
     def rates(self):
-        records = [e.stated_limits.in_force("i1", 1) for e in self.exchanges]
+        records = [v.stated_limits.in_force("i1", 1) for v in self.views]
         return [record and record.rate for record in records]
 
 
@@ -27,7 +27,7 @@
     """Guards against VMs that send as before, as they were not told."""
     fleet = Fleet(5)
     for now, rate in ((0.0, 2.0), (10.0, 0.5), (20.0, statedlimits.NO_LIMIT)):
-        fleet.exchanges[3].stated_limits.record("i1", 1, rate, now)
+        fleet.views[3].stated_limits.record("i1", 1, rate, now)
         fleet.renew(now)
         fleet.renew(now + 0.5)
         expected = None if rate == statedlimits.NO_LIMIT else rate
@@ -36,10 +36,10 @@
 
 def test_what_is_known_survives_the_leader_and_the_vm_that_read_it():
     fleet = Fleet(5)
-    fleet.exchanges[0].stated_limits.record("i1", 1, 2.0, 0.0)
+    fleet.views[0].stated_limits.record("i1", 1, 2.0, 0.0)
     fleet.renew(0.0)
     fleet.renew(0.5)
-    fleet.exchanges[0] = observations.Exchange()
+    fleet.views[0] = observations.FleetView()
     fleet.board = observations.Board(lambda fingerprint: None)
     fleet.term = 2
     fleet.renew(1.0, is_full=True)
@@ -49,8 +49,8 @@
 
 def test_a_statement_that_is_passed_on_late_does_not_replace_a_later_one():
     fleet = Fleet(2)
-    fleet.exchanges[0].stated_limits.record("i1", 1, 2.0, 0.0)
-    fleet.exchanges[1].stated_limits.record("i1", 1, 3.0, 1.0)
+    fleet.views[0].stated_limits.record("i1", 1, 2.0, 0.0)
+    fleet.views[1].stated_limits.record("i1", 1, 3.0, 1.0)
     fleet.renew(1.5)
     fleet.renew(2.0)
     assert fleet.rates() == [3.0, 3.0]
@@ -62,10 +62,10 @@
     sent = 0
     for step in range(40):
         now = step * 0.5
-        for exchange in fleet.exchanges:
-            exchange.stated_limits.record("i1", 1, 2.0, now)
-            sent += len(exchange.build_report(False, now).stated_limits)
+        for view in fleet.views:
+            view.stated_limits.record("i1", 1, 2.0, now)
+            sent += len(view.build_report(False, now).stated_limits)
         fleet.renew(now)
     assert sent <= 3 + 20.0 / statedlimits.REFRESH_SECONDS * 3
-    [record] = fleet.exchanges[0].stated_limits.records.values()
+    [record] = fleet.views[0].stated_limits.records.values()
     assert record.read_at == 19.5
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -14,7 +14,7 @@
     """Entry VMs and their leader; all calls arrive at once."""
 
     def __init__(self, count):
-        self.exchanges = [observations.Exchange() for _ in range(count)]
+        self.views = [observations.FleetView() for _ in range(count)]
         self.term = 0
         self.change_leader()
 
@@ -24,21 +24,21 @@
         self.board = observations.Board(self.blocked.append)
 
     def renew(self, now, is_full=False):
-        for exchange in self.exchanges:
-            report = exchange.build_report(is_full, now)
+        for view in self.views:
+            report = view.build_report(is_full, now)
             update = self.board.answer(report, self.term, now)
-            exchange.receive(report, update, now)
+            view.receive(report, update, now)
 
     def refusing(self, fingerprint, now):
         return sum(
-            e.watchlist.blocked_until(fingerprint, now) is not None
-            for e in self.exchanges
+            view.watchlist.blocked_until(fingerprint, now) is not None
+            for view in self.views
         )
 
 
 def block(fleet):
     for number in range(3):
-        watchlist = fleet.exchanges[number].watchlist
+        watchlist = fleet.views[number].watchlist
         crash(watchlist, b"d", f"i{number}", float(number))
         fleet.renew(float(number))
     fleet.renew(2.5)
@@ -56,23 +56,23 @@
     fleet = Fleet(5)
     block(fleet)
     for number in range(3):
-        fleet.exchanges[number] = observations.Exchange()
+        fleet.views[number] = observations.FleetView()
     fleet.change_leader()
     fleet.renew(3.0, is_full=True)
     fleet.renew(3.5)
     assert fleet.refusing(b"d", 4.0) == 5
-    until = {e.watchlist.blocked_until(b"d", 4.0) for e in fleet.exchanges}
+    until = {v.watchlist.blocked_until(b"d", 4.0) for v in fleet.views}
     assert max(until) <= 2.0 + crashes.BLOCK_SECONDS + 0.1
 
 
 def test_crashes_before_a_failover_count_after_it():
     fleet = Fleet(3)
     for number in range(2):
-        crash(fleet.exchanges[0].watchlist, b"d", f"i{number}", float(number))
+        crash(fleet.views[0].watchlist, b"d", f"i{number}", float(number))
         fleet.renew(float(number))
     fleet.change_leader()
     fleet.renew(2.0, is_full=True)
-    crash(fleet.exchanges[1].watchlist, b"d", "i2", 3.0)
+    crash(fleet.views[1].watchlist, b"d", "i2", 3.0)
     fleet.renew(3.0)
     fleet.renew(3.5)
     assert fleet.refusing(b"d", 4.0) == 3
@@ -81,25 +81,25 @@
 def test_a_success_at_one_vm_clears_a_request_at_all():
     fleet = Fleet(3)
     for number in range(2):
-        crash(fleet.exchanges[number].watchlist, b"p", f"i{number}")
+        crash(fleet.views[number].watchlist, b"p", f"i{number}")
     fleet.renew(0.0)
     fleet.renew(0.5)
-    assert fleet.exchanges[2].watchlist.crash_count(b"p") > 0
-    fleet.exchanges[2].watchlist.record_success(b"p")
+    assert fleet.views[2].watchlist.crash_count(b"p") > 0
+    fleet.views[2].watchlist.record_success(b"p")
     fleet.renew(1.0)
     fleet.renew(1.5)
-    assert [e.watchlist.crash_count(b"p") for e in fleet.exchanges] == [0] * 3
-    assert all(e.watchlist.is_empty for e in fleet.exchanges)
+    assert [v.watchlist.crash_count(b"p") for v in fleet.views] == [0] * 3
+    assert all(v.watchlist.is_empty for v in fleet.views)
 
 
 def test_what_the_leader_said_is_forgotten_once_it_is_old():
     """Guards against suspicion for good, as the leader tells no ends of it."""
     fleet = Fleet(4)
     block(fleet)
-    crash(fleet.exchanges[0].watchlist, b"p", "i7", 3.0)
+    crash(fleet.views[0].watchlist, b"p", "i7", 3.0)
     fleet.renew(3.0)
     fleet.renew(3.5)
-    watchlist = fleet.exchanges[3].watchlist
+    watchlist = fleet.views[3].watchlist
     assert watchlist.known.keys() == {b"d", b"p"}
     watchlist.expire(4.0 + crashes.CRASH_SECONDS)
     assert watchlist.known.keys() == {b"d"}
