--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -1,18 +1,16 @@
 """Forwards requests to upstreams, with retries, and returns the responses."""
 
 import asyncio
-import urllib.parse
 from collections.abc import AsyncIterator
 
 import aiohttp
 import yarl
-from aiohttp import web
 
 from pollenseam import admission
 from pollenseam import catalog
 from pollenseam import crashwatch
 from pollenseam import errors
-from pollenseam import fingerprints
+from pollenseam import exchanges
 from pollenseam import headers
 from pollenseam import lifecycles
 from pollenseam import sessions
@@ -28,156 +26,13 @@
 # the upstreams.
 MAX_BREAKS = 1
 TIMEOUT_FAILURE_RATIO = 0.8
-IDEMPOTENT_METHODS = frozenset(
-    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
-)
-NO_WORKSPACE = ""
 BODILESS_STATUSES = frozenset({204, 304})
 
 
-class Exchange:
-    """One proxied request and the state of its attempts.
-
-    Attributes:
-        request: The caller's request.
-        target: Path and query as sent by the caller.
-        route: Route that matched the request.
-        workspace: Path of the key's workspace, or "" on open routes.
-        weight: Weight of the workspace in the queues for slots.
-        key: The caller's key, or None.
-        deadline: Time, in seconds of the VM's clock, by which the response
-            must be complete.
-        queue_deadline: Time until which the request may wait for tokens and
-            slots.
-        body: The buffered body, or None if the body is streamed.
-        is_at_most_once: Whether the route limits the request to one
-            execution.
-        tried: Names of the upstreams on which an attempt failed.
-        is_sent: Whether a byte of the request may have reached an upstream, in
-            an attempt that was not shed.
-        body_refusal: Why the streamed body was aborted, or None.
-        claim: Digest that identifies the request's claim, or "".
-        attempt: Id of the attempt that has the claim, or "".
-        breaks: Attempts in which the connection to the upstream broke.
-        is_suspect: Whether the request may have crashed upstreams before.
-    """
-
-    __slots__ = (
-        "request",
-        "target",
-        "route",
-        "workspace",
-        "weight",
-        "key",
-        "deadline",
-        "queue_deadline",
-        "body",
-        "is_at_most_once",
-        "tried",
-        "is_sent",
-        "body_refusal",
-        "claim",
-        "attempt",
-        "breaks",
-        "is_suspect",
-        "_fingerprint",
-    )
-
-    def __init__(
-        self,
-        request: web.BaseRequest,
-        target: str,
-        route: catalog.Route,
-        deadline: float,
-        queue_deadline: float,
-    ) -> None:
-        self.request = request
-        self.target = target
-        self.route = route
-        self.workspace = NO_WORKSPACE
-        self.weight = 1.0
-        self.key: str | None = None
-        self.deadline = deadline
-        self.queue_deadline = queue_deadline
-        self.body: bytes | None = None
-        self.is_at_most_once = False
-        self.tried: set[str] = set()
-        self.is_sent = False
-        self.body_refusal: errors.Refusal | None = None
-        self.claim = ""
-        self.attempt = ""
-        self.breaks = 0
-        self.is_suspect = False
-        self._fingerprint = b""
-
-    @property
-    def may_resend(self) -> bool:
-        """Whether the request may be resent after a byte of it was sent."""
-        idempotent = self.request.method in IDEMPOTENT_METHODS
-        return idempotent and not self.is_at_most_once and self.body is not None
-
-    @property
-    def fingerprint(self) -> bytes:
-        """Fingerprint of the request; b"" if its body is streamed.
-
-        Computed when it is first needed, which is after the body was buffered.
-        """
-        if not self._fingerprint and self.body is not None:
-            self._fingerprint = fingerprints.fingerprint(
-                self.request.method,
-                self.request.headers["Host"],
-                self.target,
-                self.workspace,
-                self.body,
-            )
-        return self._fingerprint
-
-
 class _ShedError(Exception):
     """The upstream shed the request: it declared that it did not run it."""
 
 
-class Reservation:
-    """A slot reserved on an upstream for one attempt.
-
-    Attributes:
-        service: Path of the service.
-        upstream: The upstream.
-        started: Time at which the slot was reserved.
-    """
-
-    __slots__ = ("service", "upstream", "started")
-
-    def __init__(
-        self, service: str, upstream: upstreams.Upstream, started: float
-    ) -> None:
-        self.service = service
-        self.upstream = upstream
-        self.started = started
-
-
-class StreamingResponse:
-    """An upstream's response whose body has not been read yet.
-
-    Attributes:
-        response: The response; its head has been received.
-        reservation: Slot that the request occupies until `finish`.
-        exchange: The request.
-    """
-
-    __slots__ = ("response", "reservation", "exchange")
-
-    def __init__(
-        self,
-        response: aiohttp.ClientResponse,
-        reservation: Reservation,
-        exchange: Exchange,
-    ) -> None:
-        self.response = response
-        self.reservation = reservation
-        self.exchange = exchange
-
-
 class Forwarder:
     """Forwards requests to upstreams.
 
@@ -207,7 +62,9 @@
         self.crash_watch.close()
         await self.session.close()
 
-    async def send(self, exchange: Exchange) -> StreamingResponse:
+    async def send(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.StreamingResponse:
         """Sends a request and returns the response once its head is received.
 
         The caller must pass the response to `finish`.
@@ -236,7 +93,7 @@
                     raise
                 self.vm.metrics.retries += 1
 
-    def _check_crashes(self, exchange: Exchange) -> None:
+    def _check_crashes(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that is blocked for crashing upstreams."""
         watchlist = self.vm.fleet_view.watchlist
         if watchlist.is_empty or not exchange.fingerprint:
@@ -256,7 +113,7 @@
         self.vm.lease_wake.set()
 
     def _record_break(
-        self, exchange: Exchange, upstream: upstreams.Upstream
+        self, exchange: exchanges.Exchange, upstream: upstreams.Upstream
     ) -> None:
         """Records that the connection broke after a request was sent."""
         exchange.breaks += 1
@@ -269,7 +126,7 @@
         self.crash_watch.record_break(exchange.fingerprint, start)
 
     def _may_retry(
-        self, exchange: Exchange, budget: upstreams.RetryBudget
+        self, exchange: exchanges.Exchange, budget: upstreams.RetryBudget
     ) -> bool:
         if exchange.breaks > MAX_BREAKS or (
             exchange.breaks and exchange.is_suspect
@@ -280,12 +137,12 @@
         return len(exchange.tried) < MAX_ATTEMPTS and budget.try_spend()
 
     async def _reserve(
-        self, exchange: Exchange, last_refusal: errors.Refusal | None
-    ) -> Reservation:
+        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
+    ) -> exchanges.Reservation:
         service = exchange.route.service
         shifted = self._reserve_in_shift_target(service, exchange)
         if shifted is not None:
-            return Reservation(service.path, shifted, self.vm.now())
+            return exchanges.Reservation(service.path, shifted, self.vm.now())
         if last_refusal is not None:
             return self._reserve_untried(exchange, last_refusal)
         upstream = await self.admission.take_slot(
@@ -294,11 +151,11 @@
             exchange.weight,
             exchange.queue_deadline,
         )
-        return Reservation(service.path, upstream, self.vm.now())
+        return exchanges.Reservation(service.path, upstream, self.vm.now())
 
     def _reserve_untried(
-        self, exchange: Exchange, last_refusal: errors.Refusal
-    ) -> Reservation:
+        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal
+    ) -> exchanges.Reservation:
         """Reserves a slot on an untried upstream of this VM's region.
 
         Raises:
@@ -310,10 +167,10 @@
         upstream = self.admission.try_take_slot(service, region, exchange.tried)
         if upstream is None:
             raise errors.RefusedError(last_refusal)
-        return Reservation(service, upstream, self.vm.now())
+        return exchanges.Reservation(service, upstream, self.vm.now())
 
     def _reserve_in_shift_target(
-        self, service: catalog.Service, exchange: Exchange
+        self, service: catalog.Service, exchange: exchanges.Exchange
     ) -> upstreams.Upstream | None:
         """Reserves a slot in another region if a running shift allows it."""
         local_vm = self.vm
@@ -358,8 +215,8 @@
         )
 
     async def _attempt(
-        self, exchange: Exchange, reservation: Reservation
-    ) -> StreamingResponse:
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
+    ) -> exchanges.StreamingResponse:
         was_sent = exchange.is_sent
         try:
             response = await self._request(exchange, reservation)
@@ -380,9 +237,9 @@
             exchange.is_sent = was_sent
             self._record_shed(reservation)
             raise _ShedError
-        return StreamingResponse(response, reservation, exchange)
+        return exchanges.StreamingResponse(response, reservation, exchange)
 
-    def _record_shed(self, reservation: Reservation) -> None:
+    def _record_shed(self, reservation: exchanges.Reservation) -> None:
         self.vm.metrics.sheds += 1
         self.vm.pool(reservation.service).record_shed(
             reservation.upstream, self.vm.now()
@@ -390,7 +247,7 @@
         self.admission.release_slot(reservation.service, reservation.upstream)
 
     async def _request(
-        self, exchange: Exchange, reservation: Reservation
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
     ) -> aiohttp.ClientResponse:
         pool = self.vm.pool(reservation.service)
         was_sent = exchange.is_sent
@@ -417,7 +274,9 @@
             self._record_break(exchange, reservation.upstream)
             raise _upstream_failure(exchange, "broke the connection") from error
 
-    def _trace_sent(self, exchange: Exchange, reservation: Reservation) -> None:
+    def _trace_sent(
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
+    ) -> None:
         upstream = reservation.upstream
         now = self.vm.now()
         self.vm.trace.add(
@@ -434,7 +293,7 @@
         )
 
     def _record_timeout(
-        self, exchange: Exchange, reservation: Reservation
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
     ) -> None:
         # The caller may have disconnected, or allowed less time than the
         # route does. Only an attempt that used up most of the route's timeout
@@ -447,7 +306,7 @@
             )
 
     async def _send_request(
-        self, exchange: Exchange, reservation: Reservation
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
     ) -> aiohttp.ClientResponse:
         request = exchange.request
         forwarded = headers.to_upstream(request.headers, exchange.key)
@@ -471,7 +330,9 @@
             allow_redirects=False,
         )
 
-    async def _stream_body(self, exchange: Exchange) -> AsyncIterator[bytes]:
+    async def _stream_body(
+        self, exchange: exchanges.Exchange
+    ) -> AsyncIterator[bytes]:
         limit = exchange.route.service.max_body_bytes
         size = 0
         try:
@@ -493,7 +354,9 @@
             )
             raise errors.RefusedError(exchange.body_refusal) from error
 
-    def finish(self, streaming: StreamingResponse, is_complete: bool) -> None:
+    def finish(
+        self, streaming: exchanges.StreamingResponse, is_complete: bool
+    ) -> None:
         """Releases a response's slot and records the attempt's outcome.
 
         Args:
@@ -529,34 +392,10 @@
     )
 
 
-def _upstream_failure(exchange: Exchange, what: str) -> errors.RefusedError:
+def _upstream_failure(
+    exchange: exchanges.Exchange, what: str
+) -> errors.RefusedError:
     executed = "unknown" if exchange.is_sent else "no"
     return errors.refuse(
         errors.Kind.UPSTREAM_FAILED, f"the upstream {what}", executed=executed
     )
-
-
-def check_target(target: str) -> str:
-    """Returns the decoded path of a request target.
-
-    Dot segments are refused: an upstream that resolves them would serve
-    another path than the one that was matched to a route.
-
-    Raises:
-        RefusedError: The target is not in origin form (RFC 9112, section
-            3.2.1), or its path has dot segments.
-    """
-    if not target.startswith("/"):
-        raise errors.refuse(
-            errors.Kind.MALFORMED, "the request target must begin with '/'"
-        )
-    path = target.partition("?")[0].partition("#")[0]
-    if "%" in path:
-        path = urllib.parse.unquote(path, errors="replace")
-    if "/." in path or "\\" in path:
-        segments = path.replace("\\", "/").split("/")
-        if "." in segments or ".." in segments:
-            raise errors.refuse(
-                errors.Kind.MALFORMED, "the path contains dot segments"
-            )
-    return path
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -13,12 +13,14 @@
 from pollenseam import catalog
 from pollenseam import commands
 from pollenseam import errors
+from pollenseam import exchanges
 from pollenseam import forwarder
 from pollenseam import headers
 from pollenseam import idempotency
 from pollenseam import keys
 from pollenseam import lookups
 from pollenseam import operators
+from pollenseam import targets
 from pollenseam import traces
 from pollenseam import vm
 
@@ -216,7 +218,7 @@
 
     def _admit(
         self, request: web.BaseRequest, target: str, now: float
-    ) -> forwarder.Exchange:
+    ) -> exchanges.Exchange:
         """Checks a request before it waits for a token, a slot or its body.
 
         Raises:
@@ -225,7 +227,7 @@
         """
         local_vm = self.vm
         headers.check_framing(request.headers)
-        path = forwarder.check_target(target)
+        path = targets.decode_path(target)
         if "upgrade" in request.headers or request.method == "CONNECT":
             raise errors.refuse(
                 errors.Kind.MALFORMED, "protocol upgrades are not supported"
@@ -242,7 +244,7 @@
                 "this VM stops before the request's time is over",
             )
         queue_deadline = min(deadline, now + route.service.queue_ms / 1000)
-        exchange = forwarder.Exchange(
+        exchange = exchanges.Exchange(
             request, target, route, deadline, queue_deadline
         )
         if route.node.access == "keyed":
@@ -267,7 +269,7 @@
         )
         return min(requested_ms or route.timeout_ms, route.timeout_ms)
 
-    def _check_key(self, exchange: forwarder.Exchange) -> None:
+    def _check_key(self, exchange: exchanges.Exchange) -> None:
         local_vm = self.vm
         if not local_vm.is_fresh():
             raise errors.refuse(
@@ -301,7 +303,7 @@
             traces.Keyed(local_vm.now(), key.id, key.owner, age_ms, bound_ms)
         )
 
-    async def _buffer_body(self, exchange: forwarder.Exchange) -> None:
+    async def _buffer_body(self, exchange: exchanges.Exchange) -> None:
         """Buffers the body if it is small or the request needs a claim.
 
         Raises:
@@ -332,7 +334,7 @@
                 errors.Kind.DEADLINE, "the body did not arrive in time", "no"
             ) from None
 
-    async def _proxy(self, exchange: forwarder.Exchange) -> web.StreamResponse:
+    async def _proxy(self, exchange: exchanges.Exchange) -> web.StreamResponse:
         try:
             deadline = vm.loop_deadline(exchange.deadline)
             async with asyncio.timeout_at(deadline):
@@ -341,7 +343,7 @@
             return self._handle_truncation(exchange, error)
 
     async def _forward(
-        self, exchange: forwarder.Exchange
+        self, exchange: exchanges.Exchange
     ) -> web.StreamResponse:
         streaming = await self.forwarder.send(exchange)
         is_complete = False
@@ -354,7 +356,7 @@
 
     async def _relay_response(
         self,
-        exchange: forwarder.Exchange,
+        exchange: exchanges.Exchange,
         upstream_response: aiohttp.ClientResponse,
     ) -> web.StreamResponse:
         """Relays an upstream's response to the caller.
@@ -400,7 +402,7 @@
         return response
 
     def _handle_truncation(
-        self, exchange: forwarder.Exchange, error: Exception
+        self, exchange: exchanges.Exchange, error: Exception
     ) -> web.StreamResponse:
         """Handles an error or timeout before the end of a response.
 
--- a/src/pollenseam/idempotency.py
+++ b/src/pollenseam/idempotency.py
@@ -13,6 +13,7 @@
 from pollenseam import claims
 from pollenseam import commands
 from pollenseam import errors
+from pollenseam import exchanges
 from pollenseam import forwarder
 from pollenseam import headers
 from pollenseam import submitter
@@ -51,7 +52,7 @@
         self._attempts = itertools.count(1)
 
     async def run(
-        self, exchange: forwarder.Exchange, key: str
+        self, exchange: exchanges.Exchange, key: str
     ) -> commands.StoredAnswer:
         """Returns the answer to an at-most-once request.
 
@@ -79,7 +80,7 @@
         return await asyncio.shield(task)
 
     def _build_claim(
-        self, exchange: forwarder.Exchange, key: str
+        self, exchange: exchanges.Exchange, key: str
     ) -> commands.OpenClaim:
         request = exchange.request
         head = f"{request.method} {exchange.route.node.host} {exchange.target}"
@@ -102,7 +103,7 @@
         return task
 
     async def _open_claim(
-        self, claim: commands.OpenClaim, exchange: forwarder.Exchange
+        self, claim: commands.OpenClaim, exchange: exchanges.Exchange
     ) -> commands.Outcome:
         try:
             return await self.submitter.submit(claim, exchange.deadline)
@@ -119,7 +120,7 @@
             raise
 
     async def _send(
-        self, exchange: forwarder.Exchange, claim: commands.OpenClaim
+        self, exchange: exchanges.Exchange, claim: commands.OpenClaim
     ) -> commands.StoredAnswer:
         try:
             answer = await self._forward(exchange)
@@ -132,14 +133,14 @@
         self._spawn(self._store_answer(claim, answer))
         return answer
 
-    def _trace_unsent(self, exchange: forwarder.Exchange) -> None:
+    def _trace_unsent(self, exchange: exchanges.Exchange) -> None:
         trace = self.vm.trace
         if trace.is_on:
             now = self.vm.now()
             trace.add(traces.Unsent(now, exchange.claim, exchange.attempt))
 
     async def _forward(
-        self, exchange: forwarder.Exchange
+        self, exchange: exchanges.Exchange
     ) -> commands.StoredAnswer:
         try:
             deadline = vm.loop_deadline(exchange.deadline)
@@ -160,7 +161,7 @@
             ) from error
 
     async def _receive(
-        self, exchange: forwarder.Exchange
+        self, exchange: exchanges.Exchange
     ) -> commands.StoredAnswer:
         answer = await self.forwarder.send(exchange)
         response = answer.response
