--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -7,6 +7,7 @@
 
 from pollenseam import errors
 from pollenseam import fingerprints
+from pollenseam import requirements
 from pollenseam import routing
 from pollenseam import steering
 
@@ -262,13 +263,13 @@
             return None
         return f"{self.named_route.name}/{self.call.object}"
 
-    def requirements(self) -> steering.Requirements:
+    def requirements(self) -> requirements.Requirements:
         """Returns the requirements that an upstream must meet."""
         level = min(max(self.priority, 0), len(MAX_WAIT_RATIOS) - 1)
         target_seconds = (
             MAX_WAIT_RATIOS[level] * self.named_route.route.target_seconds
         )
-        return steering.Requirements(
+        return requirements.Requirements(
             self.named_route.name,
             self.object,
             self.regions,
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -9,6 +9,7 @@
 import yarl
 
 from pollenseam import calls
+from pollenseam import costs
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import events
@@ -501,7 +502,7 @@
             is_warm = (
                 object_id is not None and object_id in upstream.warm_objects
             )
-            ratio = steering.WARM_WORK_RATIO if is_warm else 1.0
+            ratio = costs.WARM_WORK_RATIO if is_warm else 1.0
             if is_warm or object_id is None:
                 active_call.pool.work_estimates.record(
                     active_call.named_route.name, seconds / ratio
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -9,56 +9,19 @@
 has it in its cache.
 """
 
-from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from pollenseam import costs
+from pollenseam import overflow
 from pollenseam import pacing
 from pollenseam import rankings
 from pollenseam import registry
+from pollenseam import requirements
 from pollenseam import statedlimits
 from pollenseam import upstreamstats
 from pollenseam import workestimates
 
-# Processing time on an upstream that is warm for the object, relative to the
-# processing time on one that is not.
-WARM_WORK_RATIO = 0.35
-# Penalty for an upstream that is not warm for the object: loading the object
-# into its cache delays other requests that wait there.
-CACHE_MISS_COST_SECONDS = 0.8
-FAILURE_COST_SECONDS = 2.0
-REGION_COST_SECONDS = 0.1
-DOMAIN_COST_SECONDS = 0.002
-# Extra penalty for overflow: for an upstream in another region, unless it ranks
-# first for the object. Keeps requests from moving between regions quickly.
-OVERFLOW_COST_SECONDS = 0.35
-# Penalty for an upstream that has just shed a request.
-SHED_COST_SECONDS = 0.3
-COLD_COST_SECONDS = 1.0
-# Penalty per request that a crash of the upstream would take with it.
-RISK_COST_SECONDS = 0.5
-# Large enough that a suspect upstream is chosen only if no other serves.
-SUSPECT_COST_SECONDS = 100.0
-# For this long after an upstream was first seen, its cache is still filling:
-# the objects that rank it first are not yet assumed to be cached.
-WARM_UP_SECONDS = 8.0
-# Processing time on a cold upstream (just started), relative to one that has
-# been running for a while.
-COLD_WORK_RATIO = 2.0
-# Fraction of the requests in OVERFLOW_WINDOW_SECONDS that may leave their
-# preferred region for lack of room.
-OVERFLOW_RATIO = 0.08
-OVERFLOW_WINDOW_SECONDS = 2.0
-# A wait up to this long is accepted whatever the request's latency target.
-ACCEPTED_WAIT_SECONDS = 0.2
-# Load, relative to its slots, up to which an upstream is given requests for
-# objects that are not in its cache.
-CACHE_MISS_LOAD_RATIO = 0.67
-# Load, relative to its slots, from which an upstream gets FULL_COST_SECONDS.
-# Upstreams queue a few more requests than they have slots for, and shed the
-# rest.
-FULL_LOAD_RATIO = 3.5
-FULL_COST_SECONDS = 2.0
 # Upstreams that are evaluated for a request in its preferred region, and again
 # in the other regions. More are evaluated only if none of these has room.
 CANDIDATE_COUNT = 12
@@ -121,49 +84,6 @@
         self.sort_key = (choice.excess_wait_seconds > 0, cost)
 
 
-class Requirements:
-    """What a request requires of the upstream that will serve it.
-
-    Attributes:
-        route: Name of the request's route.
-        object: Object that the request concerns, or None.
-        regions: Regions that may serve the request; all if empty.
-        tried: Ids of upstreams that must not get the request again.
-        target_seconds: Time within which a response should be expected.
-        is_risky: Whether the request may crash the upstream that runs it.
-        reserve_ratio: Part (0 to 1) of an upstream's limited rate, of what has
-            been saved up, that is left to requests of higher priorities.
-    """
-
-    __slots__ = (
-        "route",
-        "object",
-        "regions",
-        "tried",
-        "target_seconds",
-        "reserve_ratio",
-        "is_risky",
-    )
-
-    def __init__(
-        self,
-        route: str,
-        object: str | None,
-        regions: Container[str],
-        tried: Container[str],
-        target_seconds: float = 1.0,
-        reserve_ratio: float = 0.0,
-        is_risky: bool = False,
-    ) -> None:
-        self.target_seconds = target_seconds
-        self.reserve_ratio = reserve_ratio
-        self.is_risky = is_risky
-        self.route = route
-        self.object = object
-        self.regions = regions
-        self.tried = tried
-
-
 class Pool:
     """The upstreams of one service that an entry VM can send requests to.
 
@@ -177,8 +97,7 @@
         stated_limits: Rates that upstreams state.
         work_estimates: Expected processing time by route.
         rankings: Rankings of the upstreams, by object.
-        recent_choices: Choices of the last OVERFLOW_WINDOW_SECONDS by time;
-            True if the request left its preferred region.
+        overflow_limit: Limits requests that leave their preferred region.
     """
 
     __slots__ = (
@@ -190,7 +109,7 @@
         "stated_limits",
         "work_estimates",
         "rankings",
-        "recent_choices",
+        "overflow_limit",
     )
 
     def __init__(
@@ -208,7 +127,7 @@
         self.failure_domain = failure_domain
         self.cold_rate = 0.0
         self.work_estimates = work_estimates
-        self.recent_choices: dict[float, bool] = {}
+        self.overflow_limit = overflow.OverflowLimit()
         self.rankings = rankings.Rankings(region)
 
     def update(
@@ -266,7 +185,7 @@
     def _admits(
         self,
         upstream: upstreamstats.UpstreamStats,
-        requirements: Requirements,
+        required: requirements.Requirements,
         now: float,
     ) -> bool:
         """Returns whether this VM may send a request to an upstream now.
@@ -275,7 +194,7 @@
         because only a few of many upstreams limit it at a time.
         """
         upstream.pacer.set_rate(self._own_rate(upstream, now), now)
-        return upstream.pacer.admits(requirements.reserve_ratio, now)
+        return upstream.pacer.admits(required.reserve_ratio, now)
 
     def _own_rate(
         self, upstream: upstreamstats.UpstreamStats, now: float
@@ -297,37 +216,37 @@
         return self.fleet.own_rate(rank, accepted_rate, silent_seconds)
 
     def seconds_until_admitted(
-        self, requirements: Requirements, now: float
+        self, required: requirements.Requirements, now: float
     ) -> float | None:
         """Returns the time until an upstream may get a request.
 
         The result is None if none will, as far as this VM knows.
         """
         waits = [
-            upstream.pacer.wait_seconds(requirements.reserve_ratio, now)
+            upstream.pacer.wait_seconds(required.reserve_ratio, now)
             for upstream in self.upstreams.values()
-            if self._is_allowed(upstream, requirements)
+            if self._is_allowed(upstream, required)
         ]
         return min((wait for wait in waits if wait is not None), default=None)
 
-    def choose(self, requirements: Requirements, now: float) -> Choice | None:
+    def choose(
+        self, required: requirements.Requirements, now: float
+    ) -> Choice | None:
         """Returns the best upstream for a request, or None if there is none.
 
         The best is the one with the shortest expected time to the response,
         plus penalties. Upstreams without excess wait come first, so that no
         request is refused while an upstream that is not warm has room.
         """
-        ranking = self.rankings.find(
-            requirements.object, self.upstreams.values()
-        )
-        preferred = self._best_candidate(ranking.preferred, requirements, now)
-        other = self._best_candidate(ranking.others, requirements, now)
+        ranking = self.rankings.find(required.object, self.upstreams.values())
+        preferred = self._best_candidate(ranking.preferred, required, now)
+        other = self._best_candidate(ranking.others, required, now)
         return self._choose_region(preferred, other, now)
 
     def _best_candidate(
         self,
         ranked: list[tuple[int, upstreamstats.UpstreamStats]],
-        requirements: Requirements,
+        required: requirements.Requirements,
         now: float,
     ) -> _Candidate | None:
         """Returns the best usable upstream of a list, or None.
@@ -338,12 +257,14 @@
         best: _Candidate | None = None
         count = 0
         for rank, upstream in ranked:
-            if not self._is_allowed(upstream, requirements):
+            if not self._is_allowed(upstream, required):
                 continue
-            if not self._admits(upstream, requirements, now):
+            if not self._admits(upstream, required, now):
                 continue
-            choice = self._evaluate(upstream, rank, requirements, now)
-            penalty = self._penalty(upstream, rank, requirements, now)
+            choice = self._evaluate(upstream, rank, required, now)
+            penalty = costs.penalty_seconds(
+                upstream, rank, required, self.region, now
+            )
             candidate = _Candidate(choice, choice.expected_seconds + penalty)
             if best is None or candidate.sort_key < best.sort_key:
                 best = candidate
@@ -355,16 +276,16 @@
     def _is_allowed(
         self,
         upstream: upstreamstats.UpstreamStats,
-        requirements: Requirements,
+        required: requirements.Requirements,
     ) -> bool:
-        if upstream.record.id in requirements.tried:
+        if upstream.record.id in required.tried:
             return False
-        regions = requirements.regions
+        regions = required.regions
         return not regions or upstream.region in regions
 
     def _has_room(self, candidate: _Candidate, now: float) -> bool:
         choice = candidate.choice
-        return choice.excess_wait_seconds <= 0 and not self._is_suspect(
+        return choice.excess_wait_seconds <= 0 and not costs.is_suspect(
             choice.upstream, now
         )
 
@@ -376,130 +297,34 @@
     ) -> Choice | None:
         """Chooses between the preferred region and the other regions.
 
-        Only OVERFLOW_RATIO of recent requests may leave their preferred region
-        for lack of room, so that they also return gradually. All may leave if
+        Few may leave their preferred region for lack of room, see
+        `overflow`, so that they also return gradually. All may leave if
         the best upstream of the preferred region is suspect, or there is none.
         """
         if preferred is None or other is None:
             only = preferred or other
             return only.choice if only is not None else None
-        self._drop_old_choices(now)
-        if self._is_suspect(preferred.choice.upstream, now):
+        if costs.is_suspect(preferred.choice.upstream, now):
             return min(preferred, other, key=lambda one: one.sort_key).choice
-        max_overflows = OVERFLOW_RATIO * len(self.recent_choices)
-        overflows = (
-            other.sort_key < preferred.sort_key
-            and sum(self.recent_choices.values()) < max_overflows
-        )
-        self.recent_choices[now] = overflows
-        return other.choice if overflows else preferred.choice
-
-    def _drop_old_choices(self, now: float) -> None:
-        oldest = now - OVERFLOW_WINDOW_SECONDS
-        while self.recent_choices and next(iter(self.recent_choices)) < oldest:
-            del self.recent_choices[next(iter(self.recent_choices))]
-
-    def _is_suspect(
-        self, upstream: upstreamstats.UpstreamStats, now: float
-    ) -> bool:
-        return upstream.suspect_until > now or upstream.is_unreachable(now)
+        is_wanted = other.sort_key < preferred.sort_key
+        if self.overflow_limit.decide(is_wanted, now):
+            return other.choice
+        return preferred.choice
 
     def _evaluate(
         self,
         upstream: upstreamstats.UpstreamStats,
         rank: int,
-        requirements: Requirements,
+        required: requirements.Requirements,
         now: float,
     ) -> Choice:
-        work = self.expected_work(upstream, requirements, now, rank)
+        estimate = self.work_estimates.estimate(required.route)
+        work = costs.work_seconds(upstream, rank, required, estimate, now)
         slots = max(1, upstream.record.slots)
         queued = max(0.0, upstream.load(now) + 1 - slots)
         wait = queued / slots * work
-        travel = 0.0
-        if upstream.region != self.region:
-            travel = REGION_COST_SECONDS
-        elif upstream.record.failure_domain != self.failure_domain:
-            travel = DOMAIN_COST_SECONDS
-        excess = self._excess_wait(
-            upstream, rank, requirements, now, wait, work + travel
+        work += costs.travel_seconds(upstream, self.region, self.failure_domain)
+        excess = costs.excess_wait_seconds(
+            upstream, rank, required, wait, work, now
         )
-        return Choice(upstream, rank, wait, work + travel, excess)
-
-    def _excess_wait(
-        self,
-        upstream: upstreamstats.UpstreamStats,
-        rank: int,
-        requirements: Requirements,
-        now: float,
-        wait: float,
-        work: float,
-    ) -> float:
-        """Returns by how many seconds a wait exceeds the acceptable wait.
-
-        A wait at the first-ranked or a warm upstream, or of a request without
-        an object, is acceptable up to ACCEPTED_WAIT_SECONDS, and beyond that
-        as long as the response is expected within the latency target. An
-        upstream that is not warm takes several times as long, so it must have
-        free slots.
-        """
-        if (
-            rank == 0
-            or requirements.object is None
-            or requirements.object in upstream.warm_objects
-        ):
-            return max(
-                0.0,
-                wait
-                - max(
-                    ACCEPTED_WAIT_SECONDS, requirements.target_seconds - work
-                ),
-            )
-        max_load = CACHE_MISS_LOAD_RATIO * upstream.record.slots
-        return max(0.0, upstream.load(now) + 1 - max_load) * work
-
-    def expected_work(
-        self,
-        upstream: upstreamstats.UpstreamStats,
-        requirements: Requirements,
-        now: float,
-        rank: int = 1,
-    ) -> float:
-        """Returns the expected processing time in seconds at an upstream."""
-        work = self.work_estimates.estimate(requirements.route)
-        if requirements.object is not None:
-            # Other VMs also send this object to the first-ranked upstream, so
-            # it is likely to have the object cached.
-            is_likely_warm = (
-                rank == 0 and now - upstream.first_seen_at > WARM_UP_SECONDS
-            )
-            if is_likely_warm or requirements.object in upstream.warm_objects:
-                work *= WARM_WORK_RATIO
-        if upstream.cold_until > now:
-            work *= COLD_WORK_RATIO
-        return work * upstream.current_slowness(now)
-
-    def _penalty(
-        self,
-        upstream: upstreamstats.UpstreamStats,
-        rank: int,
-        requirements: Requirements,
-        now: float,
-    ) -> float:
-        cost = upstream.current_failure_ratio(now) * FAILURE_COST_SECONDS
-        if self._is_suspect(upstream, now):
-            cost += SUSPECT_COST_SECONDS
-        if upstream.full_until > now:
-            cost += SHED_COST_SECONDS
-        if upstream.load(now) >= FULL_LOAD_RATIO * upstream.record.slots:
-            cost += FULL_COST_SECONDS
-        if upstream.cold_until > now:
-            cost += COLD_COST_SECONDS
-        if rank > 0 and requirements.object not in upstream.warm_objects:
-            cost += CACHE_MISS_COST_SECONDS
-        if rank > 0 and upstream.region != self.region:
-            cost += OVERFLOW_COST_SECONDS
-        if requirements.is_risky:
-            cost += RISK_COST_SECONDS * upstream.load(now)
-        if upstream.risky_in_flight:
-            cost += RISK_COST_SECONDS
-        return cost
+        return Choice(upstream, rank, wait, work, excess)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -7,8 +7,8 @@
 
 from pollenseam import hashing
 from pollenseam import pacing
+from pollenseam import requirements
 from pollenseam import statedlimits
-from pollenseam import steering
 
 VMS = {f"v{n}": "abc"[n % 3] for n in range(11)}
 MANY_VMS = {f"v{n}": "abc"[n % 3] for n in range(86)}
@@ -34,7 +34,7 @@
     for step in range(int(seconds / interval)):
         now = step * interval
         for pool in pools:
-            wanted = steering.Requirements(
+            wanted = requirements.Requirements(
                 "r1", "7", (), (), reserve_ratio=priority_reserve
             )
             choice = pool.choose(wanted, now)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -5,6 +5,7 @@
 from pollenseam import hashing
 from pollenseam import pacing
 from pollenseam import registry
+from pollenseam import requirements
 from pollenseam import steering
 from pollenseam import workestimates
 
@@ -38,12 +39,12 @@
     return pool
 
 
-def requirements(object="7", regions=(), tried=()):
-    return steering.Requirements("r1", object, regions, tried)
+def required(object="7", regions=(), tried=()):
+    return requirements.Requirements("r1", object, regions, tried)
 
 
 def choose(pool, now=0.0, **more):
-    choice = pool.choose(requirements(**more), now)
+    choice = pool.choose(required(**more), now)
     return None if choice is None else choice.upstream.record.id
 
 
@@ -83,7 +84,7 @@
     pool = pool_of({"a1": 4, "b1": 4, "c1": 4})
     used = collections.Counter()
     for count in range(1, 41):
-        upstream = pool.choose(requirements(), 0.0).upstream
+        upstream = pool.choose(required(), 0.0).upstream
         upstream.in_flight += 1
         used[upstream.region] += 1
         assert upstream.in_flight <= 4 * upstream.record.slots
@@ -93,7 +94,7 @@
 
 def test_a_slow_upstream_is_avoided_until_its_slowness_decays():
     pool = pool_of({"a1": 3})
-    first = pool.choose(requirements(), 0.0).upstream
+    first = pool.choose(required(), 0.0).upstream
     for _ in range(6):
         first.record_success("7", 6.0, 0.5, 0.0)
     assert choose(pool) != first.record.id
@@ -103,7 +104,7 @@
 
 def test_an_upstream_that_returns_errors_is_avoided():
     pool = pool_of({"a1": 3})
-    first = pool.choose(requirements(), 0.0).upstream
+    first = pool.choose(required(), 0.0).upstream
     for _ in range(4):
         first.record_error(0.0)
     assert choose(pool) != first.record.id
@@ -111,7 +112,7 @@
 
 def test_an_unreachable_upstream_is_chosen_only_if_no_other_can_serve():
     pool = pool_of({"a1": 2})
-    first = pool.choose(requirements(), 0.0).upstream
+    first = pool.choose(required(), 0.0).upstream
     first.record_unreachable(0.0)
     other = choose(pool)
     assert other != first.record.id
@@ -134,7 +135,7 @@
     sent = []
     for now in (n / 50 for n in range(150)):
         for pool in pools:
-            choice = pool.choose(requirements(), now)
+            choice = pool.choose(required(), now)
             if choice is not None:
                 choice.upstream.begin(1.0, now)
                 sent.append(now)
@@ -166,7 +167,7 @@
         vms = {**vms, "v0": "ab"[vms["v0"] == "a"]}
         pool.set_cold_limit(3.0, pacing.Vms(vms))
         for number in range(40):
-            pool.choose(requirements(object=str(number)), 0.0)
+            pool.choose(required(object=str(number)), 0.0)
     assert set(computed) == {hashing.hash64("a1-0")}
     assert len(computed) <= 20
 
@@ -181,13 +182,13 @@
         return evaluate(self, upstream, *rest)
 
     monkeypatch.setattr(steering.Pool, "_evaluate", record_call)
-    pool.choose(requirements(), 0.0)
+    pool.choose(required(), 0.0)
     assert len(evaluated) <= 2 * steering.CANDIDATE_COUNT
     for upstream in pool.upstreams.values():
         upstream.in_flight = 40 * (upstream.region == "a")
     idle = pool.upstreams["a1-33"]
     idle.in_flight = 0
-    assert pool.choose(requirements(), 0.0).upstream is idle
+    assert pool.choose(required(), 0.0).upstream is idle
 
 
 def test_a_ranking_is_cached_while_the_upstreams_stay_the_same():
@@ -203,7 +204,7 @@
 
 def test_an_upstream_that_reports_a_queue_is_avoided():
     pool = pool_of({"a1": 2})
-    first = pool.choose(requirements(), 0.0).upstream
+    first = pool.choose(required(), 0.0).upstream
     first.record_load_report(3, 9, 0.0)
     assert choose(pool) != first.record.id
 
@@ -215,7 +216,7 @@
     for one object must still go to one upstream, until it is overloaded.
     """
     pool = pool_of({"a1": 4})
-    first = pool.choose(requirements(), 0.0).upstream
+    first = pool.choose(required(), 0.0).upstream
     first.in_flight = first.record.slots + 1
     assert choose(pool) == first.record.id
     first.in_flight = 6 * first.record.slots
@@ -236,7 +237,7 @@
     overflowed = []
     for number in range(400):
         now += 0.01
-        choice = pool.choose(requirements(object=str(number)), now)
+        choice = pool.choose(required(object=str(number)), now)
         for upstream in pool.upstreams.values():
             if upstream.region == "a":
                 upstream.reported_at = now
@@ -251,7 +252,7 @@
         if upstream.region == "a":
             upstream.record_unreachable(0.0)
     regions = {
-        pool.choose(requirements(object=str(n)), 0.01 * n).upstream.region
+        pool.choose(required(object=str(n)), 0.01 * n).upstream.region
         for n in range(20)
     }
     assert regions == {"b"}
@@ -259,7 +260,7 @@
 
 def test_an_upstream_without_responses_is_avoided_before_the_timeout():
     pool = pool_of({"a1": 3})
-    first = pool.choose(requirements(), 0.0).upstream
+    first = pool.choose(required(), 0.0).upstream
     request = first.begin(0.2, 0.0)
     assert choose(pool, now=0.5) == first.record.id
     assert choose(pool, now=1.0) != first.record.id
