Entry VMs log their share of a stated limit and the age of what they were told

Open since the postmortem of 2026-12-04 (stated limits): a VM that was told of a limit by others logged a count only. Each change of the rate in force is one line now, with this VM's share, the age and the source. The test of the rule on real programs asks for the line at each of the three VMs.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -353,7 +353,9 @@
                 response.close()
         now = self.now()
         if not head.is_replaced and (head.matches_request or head.is_not_run):
-            self._record_stated_limit(upstream, head.stated_limit)
+            self._record_stated_limit(
+                active_call.pool, upstream, head.stated_limit
+            )
         if head.running >= 0:
             upstream.record_load_report(head.running, head.waiting, now)
             # This request has ended at the upstream, but this VM still counts
@@ -382,7 +384,10 @@
         return self._evaluate_reply(active_call, choice, reply, started)
 
     def _record_stated_limit(
-        self, upstream: upstreamstats.UpstreamStats, text: str
+        self,
+        pool: steering.Pool,
+        upstream: upstreamstats.UpstreamStats,
+        text: str,
     ) -> None:
         """Records the rate that an upstream's response states, if any."""
         rate = statedlimits.parse(text) if text else statedlimits.NO_LIMIT
@@ -399,7 +404,9 @@
                 "stated-limit",
                 upstream=record.id,
                 service=record.service,
-                rate=None if rate == statedlimits.NO_LIMIT else rate,
+                rate=statedlimits.shown(rate),
+                own_rate=pool.own_rate(upstream, self.now()),
+                age_ms=0,
                 source="response",
             )
 
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -22,6 +22,7 @@
 from pollenseam import registrysync
 from pollenseam import routing
 from pollenseam import shares
+from pollenseam import statedlimits
 from pollenseam import steering
 from pollenseam import stopping
 from pollenseam import tasks
@@ -150,7 +151,12 @@
         self.freshness = freshness.Freshness()
         self.fleet_view = observations.FleetView()
         self.shares = shares.LeaseClient(
-            log, peer_client, self.now, lambda: self.own_record, self.fleet_view
+            log,
+            peer_client,
+            self.now,
+            lambda: self.own_record,
+            self.fleet_view,
+            self._log_stated_limits,
         )
         self.metrics = metrics.EntryMetrics()
         self.dispatcher = dispatcher.Dispatcher(
@@ -382,6 +388,25 @@
             rate = service.cold_rate if service is not None else 0.0
             pool.set_cold_limit(rate, self.vms)
 
+    def _log_stated_limits(
+        self, statements: list[statedlimits.StatedLimit]
+    ) -> None:
+        for statement in statements:
+            record = self.registry.upstreams.get(statement.upstream)
+            pool = self.pools.get(record.service) if record else None
+            if pool is None or statement.upstream not in pool.upstreams:
+                continue
+            upstream = pool.upstreams[statement.upstream]
+            self.log.emit_often(
+                "stated-limit",
+                upstream=statement.upstream,
+                service=upstream.record.service,
+                rate=statedlimits.shown(statement.rate),
+                own_rate=pool.own_rate(upstream, self.now()),
+                age_ms=statement.age_ms,
+                source="other-vm",
+            )
+
     def _is_leaving(self, upstream: crashwatch.UpstreamStart) -> bool:
         latest = self.registry.upstreams.get(upstream.id)
         return latest is not None and latest.state == registry.LEAVING
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -93,13 +93,20 @@
             tuple(watchlist.blocks(now)) if is_full else (),
         )
 
-    def receive(self, report: Report, update: Update, now: float) -> None:
-        """Adopts the leader's answer to a report."""
+    def receive(
+        self, report: Report, update: Update, now: float
+    ) -> list[statedlimits.StatedLimit]:
+        """Adopts the leader's answer to a report.
+
+        Returns:
+            Statements of other VMs that changed the rate in force.
+        """
         self.known = update.revisions
         self.stated_limits.mark_reported(report.stated_limits)
-        self.stated_limits.adopt(update.stated_limits, now)
+        changed = self.stated_limits.adopt(update.stated_limits, now)
         self.watchlist.mark_reported(report.crashed_runs, report.succeeded)
         self.watchlist.adopt(update.suspicions, now)
+        return changed
 
 
 class Board:
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -14,6 +14,7 @@
 from pollenseam import observations
 from pollenseam import peers
 from pollenseam import replicarunner
+from pollenseam import statedlimits
 
 CALL_TIMEOUT_SECONDS = 0.6
 RENEW_SECONDS = 0.5
@@ -35,6 +36,8 @@
         now: Returns the time in seconds.
         own_record: Returns this VM's record, which every renewal carries.
         fleet_view: Observations at upstreams that renewals carry.
+        on_stated_limits: Called with the statements of other VMs that changed
+            the rate in force of an upstream.
         lease_table: Accounts by workspace.
         leader: Address of the leader, or "" if unknown.
         wake: Event that starts a renewal at once when it is set.
@@ -47,12 +50,14 @@
         now: replicarunner.Clock,
         own_record: Callable[[], controlmessages.EntryVm],
         fleet_view: observations.FleetView,
+        on_stated_limits: Callable[[list[statedlimits.StatedLimit]], None],
     ) -> None:
         self.log = log
         self.peers = peer_client
         self.now = now
         self.own_record = own_record
         self.fleet_view = fleet_view
+        self.on_stated_limits = on_stated_limits
         self.lease_table = buckets.LeaseTable()
         self.leader = ""
         self.wake = asyncio.Event()
@@ -106,7 +111,10 @@
         deadline = sent_at + answer.ttl_ms / 1000
         now = self.now()
         if answer.observed is not None:
-            self.fleet_view.receive(request.observed, answer.observed, now)
+            changed = self.fleet_view.receive(
+                request.observed, answer.observed, now
+            )
+            self.on_stated_limits(changed)
             self._log_observations(answer.observed)
         self._synced_leader = ""
         if answer.scarce_resources is not None:
--- a/src/pollenseam/statedlimits.py
+++ b/src/pollenseam/statedlimits.py
@@ -119,17 +119,26 @@
         self.records.touch(upstream, old)
         return has_changed
 
-    def adopt(self, statements: Iterable[StatedLimit], now: float) -> None:
-        """Records statements that other VMs read, as known to all."""
+    def adopt(
+        self, statements: Iterable[StatedLimit], now: float
+    ) -> list[StatedLimit]:
+        """Records statements that other VMs read, as known to all.
+
+        Returns:
+            The statements that changed the rate in force.
+        """
+        changed: list[StatedLimit] = []
         for statement in statements:
             read_at = now - statement.age_ms / 1000
-            self.record(
+            if self.record(
                 statement.upstream,
                 statement.started_ms,
                 statement.rate,
                 read_at,
-            )
+            ):
+                changed.append(statement)
             self._mark_reported(statement)
+        return changed
 
     def unreported(self, is_full: bool, now: float) -> list[StatedLimit]:
         """Returns the statements that other VMs do not know yet.
@@ -181,6 +190,11 @@
     return StatedLimit(upstream, record.started_ms, record.rate, age_ms)
 
 
+def shown(rate: float) -> float | None:
+    """Returns a rate as the event log shows it: None stands for no limit."""
+    return None if rate == NO_LIMIT else rate
+
+
 def parse(text: str) -> float | None:
     """Returns the rate that a response states, or None if it is invalid.
 
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -193,10 +193,10 @@
         This VM's part of a limited rate is computed here, when it is needed,
         because only a few of many upstreams limit it at a time.
         """
-        upstream.pacer.set_rate(self._own_rate(upstream, now), now)
+        upstream.pacer.set_rate(self.own_rate(upstream, now), now)
         return upstream.pacer.admits(required.reserve_ratio, now)
 
-    def _own_rate(
+    def own_rate(
         self, upstream: upstreamstats.UpstreamStats, now: float
     ) -> float | None:
         """Returns this VM's part of the rate; None if it is not limited."""
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -83,7 +83,7 @@
     shares = collections.Counter()
     for pool in pools:
         for upstream in pool.upstreams.values():
-            shares[pool.region] += pool._own_rate(upstream, 0.0)
+            shares[pool.region] += pool.own_rate(upstream, 0.0)
     assert sum(shares.values()) == pytest.approx(18.0)
     assert min(shares.values()) >= 3.0
 
@@ -96,7 +96,7 @@
     pools = make_pools(MANY_VMS, {"a1": 1}, {"a1-0": 2.0})
 
     def count_senders(now):
-        rates = [p._own_rate(p.upstreams["a1-0"], now) for p in pools]
+        rates = [p.own_rate(p.upstreams["a1-0"], now) for p in pools]
         return sum(rate > 0 for rate in rates)
 
     assert count_senders(0.0) == pacing.MAX_SENDERS
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -5,6 +5,7 @@
 import machines
 import pytest
 
+from pollenseam import events
 from pollenseam import statedlimits
 
 
@@ -53,6 +54,8 @@
                     lambda n=entry_index: is_served(cluster, n)
                 )
             statuses = await send_evenly(cluster, seconds=7.0, per_second=30)
+    logs = [vm.read_log() for vm in cluster.entry_vms]
+    assert all(shares_of_limits(log, "i-1") for log in logs)
     first = limited.arrived_at[0]
     arrivals = [t for t in limited.arrived_at if t > first + 1.0]
     assert set(statuses) == {200}
@@ -60,6 +63,19 @@
     assert most_within(arrivals, 4.0) <= 1.5 * 1.5 * 4.0 + 5.0
 
 
+def shares_of_limits(log, upstream):
+    """Returns the logged shares of an upstream's rate, one a change."""
+    events_of = map(events.parse_line, log.splitlines())
+    return [
+        fields["own_rate"]
+        for fields in events_of
+        if fields.get("event") == "stated-limit"
+        and fields["upstream"] == upstream
+        and fields["age_ms"].isdecimal()
+        and fields["source"] in ("response", "other-vm")
+    ]
+
+
 async def is_served(cluster, entry_index):
     return (await cluster.request(entry_index=entry_index))[0] == 200
 
