--- a/tests/machines.py
+++ b/tests/machines.py
@@ -203,6 +203,7 @@
         self.cluster = cluster
         self.reader = reader
         self.writer = writer
+        cluster.writers.append(writer)
 
     @classmethod
     async def open(cls, cluster, entry_index=0):
@@ -237,13 +238,15 @@
 class ControlConnection:
     """A kept connection of an operator to a control VM."""
 
-    def __init__(self, reader, writer):
+    def __init__(self, cluster, reader, writer):
         self.reader = reader
         self.writer = writer
+        cluster.writers.append(writer)
 
     @classmethod
     async def open(cls, machine):
-        return cls(*await asyncio.open_connection(machine.ip, 7101))
+        connection = await asyncio.open_connection(machine.ip, 7101)
+        return cls(machine.cluster, *connection)
 
     async def patch(self, version):
         """Sends `initial_patch`; returns the status and the decoded body."""
@@ -270,6 +273,7 @@
         self.control_vms = []
         self.entry_vms = []
         self.servers = []
+        self.writers = []
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=10.0)
         )
@@ -291,6 +295,8 @@
 
     async def stop(self):
         await self.session.close()
+        for writer in self.writers:
+            writer.close()
         for machine in [*self.control_vms, *self.entry_vms]:
             await machine.kill()
         for server in self.servers:
--- a/tests/test_rogue_upstreams.py
+++ b/tests/test_rogue_upstreams.py
@@ -59,18 +59,23 @@
         self.address = f"{host}:{port}"
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.start)
+        try:
+            with contextlib.suppress(ConnectionError):
+                await self._send_without_end(reader, writer)
+            self.closed.set()
+        finally:
+            writer.close()
+
+    async def _send_without_end(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.start)
+        await writer.drain()
+        await asyncio.sleep(self.first_pause_seconds)
+        while True:
+            writer.write(self.repeated)
             await writer.drain()
-            await asyncio.sleep(self.first_pause_seconds)
-            while True:
-                writer.write(self.repeated)
-                await writer.drain()
-                self.sent_bytes += len(self.repeated)
-                await asyncio.sleep(self.pause_seconds)
-        self.closed.set()
-        writer.close()
+            self.sent_bytes += len(self.repeated)
+            await asyncio.sleep(self.pause_seconds)
 
 
 def make_entry_vm(upstream_address):
