Planned stops with TLS: lost callers, slow handshakes and idle callers

- A stop waited up to 30 s for an idle caller that does not read (asyncio's time for the closing handshake; 35 s in place of 5 s for a whole daemon).
It is given a second, unless bytes are left to send.
- A connection in its TLS handshake was in no list: its handler could begin after the close.
Connections count from the moment at which they are accepted, for a second, and what is made after the close is closed at once.
A silent one in the backlog no longer holds up the stop to its end.

Also: an aborted connection in the backlog does not end the accepting of the rest; the rest of a head may take 3 s, as our limits allow callers, not 1 s.

--- a/src/pollenseam/httpserver.py
+++ b/src/pollenseam/httpserver.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import ssl
+import weakref
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -13,10 +14,13 @@
 BACKLOG = 1024
 # Interval at which a stopping server looks for idle connections.
 SWEEP_SECONDS = 0.02
-# A stopping server waits this long for the first request on a new connection
-# and for the rest of a request's head.
-HEAD_SECONDS = 1.0
-# Turns of the event loop within which an accepted connection is made.
+# A stopping server waits this long for the first request on a new connection,
+# its TLS handshake included, and for the rest of a head.
+FIRST_REQUEST_SECONDS = 1.0
+HEAD_SECONDS = 3.0
+# Time within which a caller must take note of the close of a TLS connection.
+TLS_CLOSE_SECONDS = 1.0
+# Turns of the event loop within which an accepted connection is known.
 ACCEPT_TURNS = 4
 # Time for cancelled handlers to end.
 CANCEL_SECONDS = 0.05
@@ -28,20 +32,23 @@
     """A caller's connection, and whether a request is arriving on it.
 
     Attributes:
+        server: The server that accepted the connection.
         head_deadline: Time, in seconds of the event loop, until which the head
             of a request is expected or the rest of one that is arriving.
     """
 
-    __slots__ = ("head_deadline",)
+    __slots__ = ("server", "head_deadline", "__weakref__")
 
-    def __init__(self, manager: web.Server, **options: Any) -> None:
-        super().__init__(manager, **options)
-        self.head_deadline = 0.0
+    def __init__(self, server: "HttpServer", **options: Any) -> None:
+        super().__init__(server.web_server, **options)
+        self.server = server
+        self.head_deadline = _time() + FIRST_REQUEST_SECONDS
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to handle requests."""
         super().connection_made(transport)
-        self.head_deadline = _time() + HEAD_SECONDS
+        self.head_deadline = _time() + FIRST_REQUEST_SECONDS
+        self.server.record_made(self)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -65,12 +72,28 @@
 
     def has_unread_bytes(self) -> bool:
         """Returns whether bytes, or an end of file, have arrived unread."""
-        if self.transport is None:
-            return False
+        transport = self.transport
+        sock = transport.get_extra_info("socket") if transport else None
+        if sock is None or sock.fileno() < 0:
+            # The end of the connection is about to be reported.
+            return True
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        poll.register(sock, select.POLLIN)
         return bool(poll.poll(0))
 
+    def close_idle(self) -> None:
+        """Closes the connection, on which no request is in progress."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None and self.server.tls is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(TLS_CLOSE_SECONDS, _abort_if_sent, transport)
+
+
+def _abort_if_sent(transport: asyncio.Transport) -> None:
+    if transport.get_write_buffer_size() == 0:
+        transport.abort()
+
 
 class HttpServer:
     """An HTTP server on one address.
@@ -79,7 +102,9 @@
         handler: Answers one request.
         web_server: Runs the handler.
         listener: Accepts connections, or None before `listen`.
+        tls: TLS settings, or None for plain text.
         closes_connections: Whether responses close their connections.
+        is_closed: Whether no further request is accepted.
     """
 
     def __init__(
@@ -100,7 +125,9 @@
         self.handler = handler
         self.web_server = web.Server(self._handle, handler_cancellation=True)
         self.listener: asyncio.Server | None = None
+        self.tls: ssl.SSLContext | None = None
         self.closes_connections = False
+        self.is_closed = False
         self._options: dict[str, Any] = {
             "access_log": None,
             "auto_decompress": False,
@@ -109,8 +136,9 @@
             "max_field_size": max_field_bytes,
             "max_headers": max_headers,
         }
-        self._tls: ssl.SSLContext | None = None
         self._socket: socket.socket | None = None
+        # Weak references, as a failed TLS handshake is not reported.
+        self._opening: weakref.WeakSet[Connection] = weakref.WeakSet()
         self._accepting: set[asyncio.Task[Any]] = set()
         self._sweeping: asyncio.Task[None] | None = None
 
@@ -123,7 +151,7 @@
             OSError: The address cannot be bound.
         """
         loop = asyncio.get_running_loop()
-        self._tls = tls
+        self.tls = tls
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.create_server(
             (host, port), family=family, backlog=BACKLOG
@@ -138,7 +166,15 @@
 
     def _make_connection(self) -> Connection:
         loop = asyncio.get_running_loop()
-        return Connection(self.web_server, loop=loop, **self._options)
+        connection = Connection(self, loop=loop, **self._options)
+        self._opening.add(connection)
+        return connection
+
+    def record_made(self, connection: Connection) -> None:
+        """Records that a connection can be used."""
+        self._opening.discard(connection)
+        if self.is_closed:
+            connection.force_close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         response = await self.handler(request)
@@ -174,6 +210,8 @@
                 accepted, _ = self._socket.accept()
             except BlockingIOError:
                 return
+            except ConnectionAbortedError:
+                continue
             except OSError as error:
                 message = "cannot accept a connection"
                 loop.call_exception_handler(
@@ -182,7 +220,7 @@
                 return
             accepted.setblocking(False)
             making = loop.connect_accepted_socket(
-                self._make_connection, accepted, ssl=self._tls
+                self._make_connection, accepted, ssl=self.tls
             )
             task = asyncio.create_task(making)
             self._accepting.add(task)
@@ -203,7 +241,9 @@
 
     async def _has_connections(self) -> bool:
         for _ in range(ACCEPT_TURNS):
-            if self.web_server.connections or self._accepting:
+            now = _time()
+            is_opening = any(c.head_deadline > now for c in self._opening)
+            if self.web_server.connections or is_opening:
                 return True
             await asyncio.sleep(0)
         return False
@@ -214,7 +254,7 @@
         for connection in self.web_server.connections:
             assert isinstance(connection, Connection)
             if connection.is_idle(now) and not connection.has_unread_bytes():
-                connection.force_close()
+                connection.close_idle()
                 closed += 1
         return closed
 
@@ -235,6 +275,9 @@
         assert self._sweeping is not None
         await asyncio.wait({self._sweeping}, timeout=grace_seconds)
         self._sweeping.cancel()
+        self.is_closed = True
+        for task in self._accepting:
+            task.cancel()
         cut = len(self.web_server.connections)
         await self.web_server.shutdown(CANCEL_SECONDS)
         return cut
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,10 +1,13 @@
 """HTTP server: idle and busy connections at a planned stop."""
 
 import asyncio
+import contextlib
 import socket
+import ssl
 import time
 
 import pytest
+import trustme
 from aiohttp import web
 
 from pollenseam import httpserver
@@ -213,6 +216,131 @@
         waiting.send(REQUEST)
         site.started.clear()
         await site.started.wait()
-        await site.server.close(0.3)
+        assert await site.server.close(0.3) == 2
         assert await slow.read_to_end() == b""
         assert await waiting.read_to_end() == b""
+
+
+async def test_a_new_connection_may_send_its_first_request(site):
+    """Guards against a close between a connect and the request after it."""
+    site.may_answer.set()
+    async with asyncio.timeout(20):
+        reader, writer = await site.connect()
+        while not site.server.web_server.connections:
+            await asyncio.sleep(0.01)
+        closing = asyncio.create_task(site.server.close(5.0))
+        await asyncio.sleep(0.05)
+        writer.write(REQUEST)
+        assert (await reader.read()).endswith(b"x" * 100_000)
+        await closing
+
+
+class TlsSite(Site):
+    """A server with TLS."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_answer.set()
+        self.authority = trustme.CA()
+        self.context = ssl.create_default_context()
+        self.authority.configure_trust(self.context)
+
+    async def start(self):
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.authority.issue_cert("127.0.0.1").configure_cert(context)
+        await self.server.listen("127.0.0.1", 0, context)
+
+    async def connect(self):
+        """Returns the streams of a connection that has been answered once."""
+        reader, writer = await asyncio.open_connection(
+            *self.address, ssl=self.context
+        )
+        writer.write(REQUEST)
+        await read_answer(reader)
+        return reader, writer
+
+    async def connect_socket(self):
+        """Returns the socket of a connection that has been answered once."""
+
+        def connect():
+            plain = socket.create_connection(self.address)
+            sock = self.context.wrap_socket(plain, server_hostname="127.0.0.1")
+            sock.sendall(REQUEST)
+            received = b""
+            while not received.endswith(b"x" * 100_000):
+                received += sock.recv(200_000)
+            return sock
+
+        return await asyncio.to_thread(connect)
+
+
+@pytest.fixture
+async def tls_site():
+    running = TlsSite()
+    await running.start()
+    yield running
+    await running.server.close(1.0)
+
+
+async def test_callers_that_disconnect_do_not_disturb_a_stop_with_tls(tls_site):
+    """Guards against a stop that fails, and cuts requests in progress.
+
+    The connection of a caller is lost in the turn of the event loop in which
+    the server stops.
+    """
+    async with asyncio.timeout(20):
+        gone = [await tls_site.connect_socket() for _ in range(5)]
+        reader, writer = await tls_site.connect()
+        tls_site.may_answer.clear()
+        tls_site.started.clear()
+        writer.write(REQUEST)
+        await tls_site.started.wait()
+
+        def hold_up():
+            for sock in gone:
+                sock.close()
+            time.sleep(0.03)
+
+        asyncio.get_running_loop().call_soon(hold_up)
+        await asyncio.sleep(0.01)
+        tls_site.server.stop_accepting()
+        closing = asyncio.create_task(tls_site.server.close(5.0))
+        await asyncio.sleep(0.1)
+        tls_site.may_answer.set()
+        await read_answer(reader)
+        await closing
+        writer.close()
+
+
+async def test_idle_callers_that_do_not_read_do_not_hold_up_a_stop(tls_site):
+    """Guards against a stop that waits for the close of an idle TLS caller."""
+    async with asyncio.timeout(20):
+        _, writer = await tls_site.connect()
+        writer.transport.pause_reading()
+        assert await tls_site.server.close(15.0) == 0
+        writer.transport.abort()
+
+
+async def test_a_handshake_in_progress_is_completed_or_comes_to_nothing(
+    tls_site,
+):
+    """Guards against a handler that begins after the server has closed."""
+    async with asyncio.timeout(20):
+        in_time = await asyncio.open_connection(*tls_site.address)
+        too_late = await asyncio.open_connection(*tls_site.address)
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(tls_site.server.close(5.0))
+        reader, writer = in_time
+        await writer.start_tls(tls_site.context, server_hostname="127.0.0.1")
+        writer.write(REQUEST)
+        await read_answer(reader)
+        await closing
+        tls_site.started.clear()
+        reader, writer = too_late
+        with contextlib.suppress(OSError):
+            await writer.start_tls(
+                tls_site.context, server_hostname="127.0.0.1"
+            )
+            writer.write(REQUEST)
+            assert await reader.read() == b""
+        assert not tls_site.started.is_set()
