Every kind of answer closes its connection during a stop; idle ones are counted

The request itself now says whether its connection stays open, which aiohttp asks for each kind of response. The number of busy connections in connections-closed included the idle ones.

test_every_kind_of_answer_closes_its_connection (streamed, raised) and test_a_stop_tells_how_many_connections_are_idle fail on the code before.

--- a/src/pollenseam/httpserver.py
+++ b/src/pollenseam/httpserver.py
@@ -28,6 +28,29 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+class Request(web.BaseRequest):
+    """A request, whose response may have to close its connection."""
+
+    @property
+    def keep_alive(self) -> bool:
+        """Whether the connection stays open after the response."""
+        connection = self.protocol
+        assert isinstance(connection, Connection)
+        is_last = connection.server.closes_connections
+        return not (is_last or self._message.should_close)
+
+
+def _make_request(
+    message: Any,
+    payload: Any,
+    protocol: Any,
+    writer: Any,
+    task: "asyncio.Task[None]",
+) -> Request:
+    loop = asyncio.get_running_loop()
+    return Request(message, payload, protocol, writer, task, loop)
+
+
 class Connection(web.RequestHandler):
     """A caller's connection, and whether a request is arriving on it.
 
@@ -99,7 +122,6 @@
     """An HTTP server on one address.
 
     Attributes:
-        handler: Answers one request.
         web_server: Runs the handler.
         listener: Accepts connections, or None before `listen`.
         tls: TLS settings, or None for plain text.
@@ -122,8 +144,11 @@
             max_field_bytes: Maximum size of the request line and of a header.
             max_headers: Maximum number of headers.
         """
-        self.handler = handler
-        self.web_server = web.Server(self._handle, handler_cancellation=True)
+        self.web_server = web.Server(
+            handler,
+            request_factory=_make_request,
+            handler_cancellation=True,
+        )
         self.listener: asyncio.Server | None = None
         self.tls: ssl.SSLContext | None = None
         self.closes_connections = False
@@ -176,12 +201,6 @@
         if self.is_closed:
             connection.force_close()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        response = await self.handler(request)
-        if self.closes_connections and not response.prepared:
-            response.force_close()
-        return response
-
     def stop_accepting(self) -> tuple[int, int]:
         """Accepts no more connections, and closes those that are idle.
 
@@ -198,7 +217,7 @@
                 self.listener.close()
             self._sweeping = asyncio.create_task(self._sweep())
         closed = self._close_idle()
-        return closed, len(self.web_server.connections)
+        return closed, len(self.web_server.connections) - closed
 
     def _accept_pending(self) -> None:
         """Accepts connections that the kernel would reset otherwise."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -235,6 +235,47 @@
         await closing
 
 
+async def test_a_stop_tells_how_many_connections_are_idle(site):
+    async with asyncio.timeout(20):
+        callers = await held_up_callers(site, 3)
+        site.may_answer.clear()
+        site.started.clear()
+        busy = HeldUpCaller(site)
+        busy.send(REQUEST)
+        await site.started.wait()
+        assert site.server.stop_accepting() == (3, 1)
+        site.may_answer.set()
+        assert await site.server.close(5.0) == 0
+        for caller in [*callers, busy]:
+            caller.socket.close()
+
+
+@pytest.mark.parametrize("kind", ["whole", "streamed", "raised"])
+async def test_every_kind_of_answer_closes_its_connection(kind):
+    """Guards against callers that are not told before a stop."""
+
+    async def answer(request):
+        if kind == "raised":
+            raise web.HTTPNotFound
+        if kind == "whole":
+            return web.Response(text="x")
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"x")
+        return response
+
+    server = httpserver.HttpServer(answer, 10.0, 8192, 100)
+    await server.listen("127.0.0.1", 0)
+    server.closes_connections = True
+    address = server.listener.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(REQUEST)
+    async with asyncio.timeout(10):
+        assert b"connection: close" in (await reader.read()).lower()
+    writer.close()
+    await server.close(1.0)
+
+
 class TlsSite(Site):
     """A server with TLS."""
 
