--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -287,10 +287,11 @@
         self.log.emit("callers-gone", cut=cut)
 
     async def _close(self) -> None:
+        # Calls of other VMs in progress end before the replica that they need.
+        await self.server.stop(CLOSE_GRACE_SECONDS)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.server.stop(CLOSE_GRACE_SECONDS)
         self.vm.trace.flush()
         await self.forwarder.close()
         await self.peers.close()
