--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -17,6 +17,7 @@
 from pollenseam import metrics
 from pollenseam import observations
 from pollenseam import overdrafts
+from pollenseam import pacing
 from pollenseam import peers
 from pollenseam import reachwatch
 from pollenseam import registry
@@ -25,7 +26,9 @@
 from pollenseam import relaying
 from pollenseam import routing
 from pollenseam import shares
+from pollenseam import statedlimits
 from pollenseam import steering
+from pollenseam import stopping
 from pollenseam import tasks
 from pollenseam import vm
 from pollenseam import workestimates
@@ -37,8 +40,6 @@
 # leader, and another source is used.
 MAX_SOURCE_AGE_SECONDS = 1.2
 SOURCE_BACKOFF_SECONDS = 2.0
-# Retry-After of a VM that is about to stop; other VMs can serve at once.
-STOPPING_RETRY_SECONDS = 0.05
 
 
 class Settings:
@@ -118,19 +119,19 @@
         receiver: Copy of the registry in force on this VM, and the transfer
             in progress.
         directory: Control VMs and entry VMs of the fleet.
+        vms: The directory's entry VMs, which share the rates of upstreams.
         table: Routes and keys, compiled from the registry's items.
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
         freshness: Age of the registry.
-        exchange: Observations at upstreams, shared by all VMs.
+        fleet_view: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
         reach_watch: Follows which services this VM reaches.
         relayer: Has calls sent by other entry VMs.
         relay_helper: Sends calls of other entry VMs.
         dispatcher: Sends calls to upstreams.
         is_leaving: Whether this VM is about to stop.
-        stop_deadline: Time in seconds at which this VM stops; infinite unless
-            it is leaving.
+        stop_deadline: When this VM stops, if it is leaving.
         in_flight: Number of calls being served.
         metrics: Counters and latencies of this VM.
     """
@@ -149,13 +150,19 @@
         self.started_ms = time.time_ns() // 1_000_000
         self.receiver = registrysync.Receiver()
         self.directory = controlmessages.Directory()
+        self.vms = pacing.Vms({settings.name: settings.region})
         self.table = routing.Table()
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = workestimates.WorkEstimates()
         self.freshness = freshness.Freshness()
-        self.exchange = observations.Exchange()
+        self.fleet_view = observations.FleetView()
         self.shares = shares.LeaseClient(
-            log, peer_client, self.now, lambda: self.own_record, self.exchange
+            log,
+            peer_client,
+            self.now,
+            lambda: self.own_record,
+            self.fleet_view,
+            self._log_stated_limits,
         )
         self.metrics = metrics.EntryMetrics()
         self.reach_watch = reachwatch.ReachWatch(
@@ -177,9 +184,11 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
-            self.exchange.stated_limits,
-            self.exchange.watchlist,
-            crashwatch.CrashWatch(log, self.now, self._record_crash),
+            self.fleet_view.stated_limits,
+            self.fleet_view.watchlist,
+            crashwatch.CrashWatch(
+                log, self.now, self._record_crash, self._is_leaving
+            ),
             self.relayer,
         )
         self.relay_helper = relayhelper.RelayHelper(
@@ -191,7 +200,7 @@
             log,
         )
         self.is_leaving = False
-        self.stop_deadline = float("inf")
+        self.stop_deadline = stopping.StopDeadline()
         self.in_flight = 0
         self._avoided_until: dict[str, float] = {}
         self._tasks = tasks.Group(log)
@@ -204,7 +213,7 @@
 
     def _lends_until(self) -> float:
         """Returns the time by which calls of other VMs must end."""
-        return self.stop_deadline if self.is_ready else 0.0
+        return self.stop_deadline.deadline if self.is_ready else 0.0
 
     # Start and stop.
 
@@ -224,14 +233,14 @@
                 Calls that may take longer are refused from now on.
         """
         self.is_leaving = True
-        self.stop_deadline = stop_deadline
+        self.stop_deadline.set(stop_deadline)
         self.shares.wake.set()
 
     async def stop(self) -> None:
         """Stops all tasks, returns the shares and closes all connections."""
         self._tasks.cancel()
         self.reach_watch.close()
-        left_seconds = self.stop_deadline - self.now()
+        left_seconds = self.stop_deadline.deadline - self.now()
         grace = max(0.0, left_seconds) if self.is_leaving else 0.0
         await self.relay_helper.stop(grace)
         await self.relayer.peers.close()
@@ -342,10 +351,7 @@
     ) -> None:
         if response.directory is not None:
             if response.directory.version > self.directory.version:
-                self.directory = response.directory
-                self.dispatcher.vm_count = max(1, len(self.directory.entries))
-                self.relayer.helpers.update(self.directory.entries)
-                self._divide_cold_rates()
+                self._adopt_directory(response.directory)
         if response.page is None:
             return
         update = self.receiver.receive(response.page, response.index)
@@ -355,6 +361,16 @@
             self._apply_update(update)
         self.freshness.record_age(sent_at, response.age_ms)
 
+    def _adopt_directory(self, directory: controlmessages.Directory) -> None:
+        self.directory = directory
+        self.dispatcher.vm_count = max(1, len(directory.entries))
+        self.relayer.helpers.update(directory.entries)
+        regions = {e.name: e.region for e in directory.entries}
+        regions = regions or {self.settings.name: self.settings.region}
+        if regions != self.vms.regions:
+            self.vms = pacing.Vms(regions)
+        self._divide_cold_rates()
+
     def _apply_update(self, update: registrysync.Update) -> None:
         started_at = self.now()
         if update.is_whole or update.has_items:
@@ -405,39 +421,56 @@
                     settings.region,
                     settings.failure_domain,
                     self.work_estimates,
-                    self.exchange.stated_limits,
+                    self.fleet_view.stated_limits,
                 )
             pool.update(records, settings.regions, now)
             self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
-        self.exchange.stated_limits.retain(self.registry.upstreams)
+        self.fleet_view.stated_limits.retain(self.registry.upstreams)
         self.dispatcher.sender.crash_watch.record_upstreams(
             self.registry.upstreams
         )
         self._divide_cold_rates()
 
     def _divide_cold_rates(self) -> None:
-        vms = {e.name: e.region for e in self.directory.entries}
-        vms = vms or {self.settings.name: self.settings.region}
         for name, pool in self.pools.items():
             service = self.table.services.get(name)
             rate = service.cold_rate if service is not None else 0.0
-            pool.set_cold_limit(rate, vms)
+            pool.set_cold_limit(rate, self.vms)
+
+    def _log_stated_limits(
+        self, statements: list[statedlimits.StatedLimit]
+    ) -> None:
+        for statement in statements:
+            record = self.registry.upstreams.get(statement.upstream)
+            pool = self.pools.get(record.service) if record else None
+            if pool is None or statement.upstream not in pool.upstreams:
+                continue
+            upstream = pool.upstreams[statement.upstream]
+            self.log.emit_often(
+                "stated-limit",
+                upstream=statement.upstream,
+                service=upstream.record.service,
+                rate=statedlimits.shown(statement.rate),
+                own_rate=pool.own_rate(upstream, self.now()),
+                age_ms=statement.age_ms,
+                source="other-vm",
+            )
+
+    def _is_leaving(self, upstream: crashwatch.UpstreamStart) -> bool:
+        latest = self.registry.upstreams.get(upstream.id)
+        return latest is not None and latest.state == registry.LEAVING
 
     def _record_crash(self, run: crashwatch.CrashedRun) -> None:
         """Records that an upstream ended while it had a request."""
-        latest = self.registry.upstreams.get(run.upstream)
-        if latest is not None and latest.state == registry.LEAVING:
-            # It ended as planned.
-            return
         self.log.emit_often(
             "run-ended-by-crash",
             fingerprint=run.fingerprint.hex(),
             upstream=run.upstream,
             age_ms=int((self.now() - run.broken_at) * 1000),
         )
-        self.exchange.watchlist.record_crash(run)
+        self.fleet_view.watchlist.record_crash(run)
         self.shares.wake.set()
 
     def _log_freshness(self) -> None:
@@ -468,6 +501,9 @@
         except errors.RefusedError as error:
             self._record_refusal(call, error.refusal)
             raise
+        except asyncio.CancelledError:
+            self._record_abandoned(call)
+            raise
         finally:
             self.in_flight -= 1
 
@@ -492,12 +528,7 @@
             workspace_regions = frozenset(workspace.allowed_regions)
             regions = _common_regions(regions, workspace_regions)
         deadline = min(call.deadline, call.arrived_at + route.timeout_seconds)
-        if deadline > self.stop_deadline:
-            raise errors.refuse(
-                errors.Kind.STOPPING,
-                "this VM stops before the request's time is over",
-                retry_after=STOPPING_RETRY_SECONDS,
-            )
+        self.stop_deadline.check(deadline)
         service = named_route.next_service()
         pool = self.pools.get(service)
         if pool is None:
@@ -546,6 +577,20 @@
             call.route, self.now() - call.arrived_at
         )
 
+    def _record_abandoned(self, call: calls.Call) -> None:
+        """Counts and logs a call whose connection was lost before a reply."""
+        now = self.now()
+        self.metrics.answers.add(call.route, "abandoned")
+        self.log.emit_often(
+            "abandoned",
+            request=call.id,
+            route=call.route or None,
+            held_seconds=now - call.arrived_at,
+            left_seconds=call.deadline - now,
+            leaving=self.is_leaving,
+            settings_index=self.registry.index,
+        )
+
     def record_unparsed(self, id: str, refusal: errors.Refusal) -> None:
         """Counts and logs a request that was refused while being received.
 
@@ -575,7 +620,7 @@
                 "settings_age_seconds": self.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "entry_vms": len(self.directory.entries),
-                "stated_limits": self.exchange.stated_limits.count,
+                "stated_limits": self.fleet_view.stated_limits.count,
                 **self.reach_watch.gauges(),
             }
         )
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -60,8 +60,8 @@
     suspicions: list[crashes.Suspicion]
 
 
-class Exchange:
-    """An entry VM's side of the exchange.
+class FleetView:
+    """What one entry VM knows of the observations of all VMs.
 
     Attributes:
         stated_limits: Rates stated by upstreams.
@@ -93,17 +93,24 @@
             tuple(watchlist.blocks(now)) if is_full else (),
         )
 
-    def receive(self, report: Report, update: Update, now: float) -> None:
-        """Adopts the leader's answer to a report."""
+    def receive(
+        self, report: Report, update: Update, now: float
+    ) -> list[statedlimits.StatedLimit]:
+        """Adopts the leader's answer to a report.
+
+        Returns:
+            Statements of other VMs that changed the rate in force.
+        """
         self.known = update.revisions
         self.stated_limits.mark_reported(report.stated_limits)
-        self.stated_limits.adopt(update.stated_limits, now)
+        changed = self.stated_limits.adopt(update.stated_limits, now)
         self.watchlist.mark_reported(report.crashed_runs, report.succeeded)
         self.watchlist.adopt(update.suspicions, now)
+        return changed
 
 
 class Board:
-    """The leader's side of the exchange.
+    """What the leader knows of the observations of all VMs.
 
     Attributes:
         stated_limits: Rates stated by upstreams.
@@ -125,7 +132,9 @@
         self._adopt_crashes(report, now)
         known = report.known if report.known.term == term else Revisions()
         revisions = Revisions(
-            term, self.stated_limits.revision, self.blocklist.revision
+            term,
+            self.stated_limits.records.revision,
+            self.blocklist.suspects.revision,
         )
         return Update(
             revisions,
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -11,6 +11,7 @@
 from pollenseam import attempts
 from pollenseam import calls
 from pollenseam import connects
+from pollenseam import costs
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import events
@@ -136,6 +137,12 @@
             raise errors.refuse(
                 errors.Kind.DEADLINE, "no reply came in time", "unknown"
             ) from None
+        except asyncio.CancelledError:
+            outcome = "cancelled" if response is None else "cancelled-in-reply"
+            self.attempt_log.record_attempt(
+                active_call, upstream, outcome, started, ""
+            )
+            raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             upstream.record_unreachable(self.now())
             if isinstance(error, BREAKS):
@@ -268,7 +275,9 @@
         self.reach_watch.record_reply(active_call.service)
         now = self.now()
         if not head.is_replaced and (head.matches_request or head.is_not_run):
-            self._record_stated_limit(upstream, head.stated_limit)
+            self._record_stated_limit(
+                active_call.pool, upstream, head.stated_limit
+            )
         if head.running >= 0:
             upstream.record_load_report(head.running, head.waiting, now)
             # This request has ended at the upstream, but this VM still counts
@@ -297,7 +306,10 @@
         return self._evaluate_reply(active_call, choice, reply, started)
 
     def _record_stated_limit(
-        self, upstream: upstreamstats.UpstreamStats, text: str
+        self,
+        pool: steering.Pool,
+        upstream: upstreamstats.UpstreamStats,
+        text: str,
     ) -> None:
         """Records the rate that an upstream's response states, if any."""
         rate = statedlimits.parse(text) if text else statedlimits.NO_LIMIT
@@ -314,7 +326,9 @@
                 "stated-limit",
                 upstream=record.id,
                 service=record.service,
-                rate=None if rate == statedlimits.NO_LIMIT else rate,
+                rate=statedlimits.shown(rate),
+                own_rate=pool.own_rate(upstream, self.now()),
+                age_ms=0,
                 source="response",
             )
 
@@ -375,7 +389,7 @@
             is_warm = (
                 object_id is not None and object_id in upstream.warm_objects
             )
-            ratio = steering.WARM_WORK_RATIO if is_warm else 1.0
+            ratio = costs.WARM_WORK_RATIO if is_warm else 1.0
             if is_warm or object_id is None:
                 active_call.pool.work_estimates.record(
                     active_call.named_route.name, seconds / ratio
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -14,6 +14,7 @@
 from pollenseam import observations
 from pollenseam import peers
 from pollenseam import replicarunner
+from pollenseam import statedlimits
 
 CALL_TIMEOUT_SECONDS = 0.6
 RENEW_SECONDS = 0.5
@@ -34,7 +35,9 @@
         peers: Client for calls to other VMs.
         now: Returns the time in seconds.
         own_record: Returns this VM's record, which every renewal carries.
-        exchange: Observations at upstreams that renewals carry.
+        fleet_view: Observations at upstreams that renewals carry.
+        on_stated_limits: Called with the statements of other VMs that changed
+            the rate in force of an upstream.
         lease_table: Accounts by workspace.
         leader: Address of the leader, or "" if unknown.
         wake: Event that starts a renewal at once when it is set.
@@ -46,13 +49,15 @@
         peer_client: peers.Client,
         now: replicarunner.Clock,
         own_record: Callable[[], controlmessages.EntryVm],
-        exchange: observations.Exchange,
+        fleet_view: observations.FleetView,
+        on_stated_limits: Callable[[list[statedlimits.StatedLimit]], None],
     ) -> None:
         self.log = log
         self.peers = peer_client
         self.now = now
         self.own_record = own_record
-        self.exchange = exchange
+        self.fleet_view = fleet_view
+        self.on_stated_limits = on_stated_limits
         self.lease_table = buckets.LeaseTable()
         self.leader = ""
         self.wake = asyncio.Event()
@@ -95,7 +100,7 @@
             self.own_record(),
             demands,
             is_complete=is_full,
-            observed=self.exchange.build_report(is_full, sent_at),
+            observed=self.fleet_view.build_report(is_full, sent_at),
         )
         answer = await self._call_leader(request)
         if answer is None:
@@ -106,7 +111,10 @@
         deadline = sent_at + answer.ttl_ms / 1000
         now = self.now()
         if answer.observed is not None:
-            self.exchange.receive(request.observed, answer.observed, now)
+            changed = self.fleet_view.receive(
+                request.observed, answer.observed, now
+            )
+            self.on_stated_limits(changed)
             self._log_observations(answer.observed)
         self._synced_leader = ""
         if answer.scarce_resources is not None:
--- a/src/pollenseam/statedlimits.py
+++ b/src/pollenseam/statedlimits.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from pollenseam import revisions
+
 # A stated rate above this is no limit in practice, and probably a mistake.
 MAX_RATE = 1_000_000.0
 # A VM reports a rate again after this time even if it has not changed.
@@ -80,15 +82,13 @@
     at which they were read: the latest counts.
 
     Attributes:
-        records: Records by upstream id, the latest change last.
-        revision: Number of changes.
+        records: Records by upstream id.
     """
 
-    __slots__ = ("records", "revision")
+    __slots__ = ("records",)
 
     def __init__(self) -> None:
-        self.records: dict[str, Record] = {}
-        self.revision = 0
+        self.records: revisions.Records[str, Record] = revisions.Records()
 
     def in_force(self, upstream: str, started_ms: int) -> Record | None:
         """Returns the record of an upstream that states a limit, or None."""
@@ -110,28 +110,35 @@
         if old is not None and started_ms < old.started_ms:
             return False
         if old is None or started_ms > old.started_ms:
-            old = self.records[upstream] = Record(started_ms, NO_LIMIT, read_at)
+            old = Record(started_ms, NO_LIMIT, read_at)
         elif read_at < old.read_at:
             return False
         has_changed = old.rate != rate
         old.rate = rate
         old.read_at = read_at
-        self.revision += 1
-        old.revision = self.revision
-        self.records[upstream] = self.records.pop(upstream)
+        self.records.touch(upstream, old)
         return has_changed
 
-    def adopt(self, statements: Iterable[StatedLimit], now: float) -> None:
-        """Records statements that other VMs read, as known to all."""
+    def adopt(
+        self, statements: Iterable[StatedLimit], now: float
+    ) -> list[StatedLimit]:
+        """Records statements that other VMs read, as known to all.
+
+        Returns:
+            The statements that changed the rate in force.
+        """
+        changed: list[StatedLimit] = []
         for statement in statements:
             read_at = now - statement.age_ms / 1000
-            self.record(
+            if self.record(
                 statement.upstream,
                 statement.started_ms,
                 statement.rate,
                 read_at,
-            )
+            ):
+                changed.append(statement)
             self._mark_reported(statement)
+        return changed
 
     def unreported(self, is_full: bool, now: float) -> list[StatedLimit]:
         """Returns the statements that other VMs do not know yet.
@@ -162,12 +169,10 @@
 
     def changes_since(self, revision: int, now: float) -> list[StatedLimit]:
         """Returns the statements that were recorded after a revision."""
-        changed: list[StatedLimit] = []
-        for upstream, record in reversed(self.records.items()):
-            if record.revision <= revision:
-                break
-            changed.append(_to_message(upstream, record, now))
-        return changed
+        return [
+            _to_message(upstream, record, now)
+            for upstream, record in self.records.changed_since(revision)
+        ]
 
     def retain(self, upstreams: Container[str]) -> None:
         """Drops the records of all other upstreams."""
@@ -185,6 +190,11 @@
     return StatedLimit(upstream, record.started_ms, record.rate, age_ms)
 
 
+def shown(rate: float) -> float | None:
+    """Returns a rate as the event log shows it: None stands for no limit."""
+    return None if rate == NO_LIMIT else rate
+
+
 def parse(text: str) -> float | None:
     """Returns the rate that a response states, or None if it is invalid.
 
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import re
@@ -205,6 +206,7 @@
         self.cluster = cluster
         self.reader = reader
         self.writer = writer
+        cluster.writers.append(writer)
 
     @classmethod
     async def open(cls, cluster, entry_index=0):
@@ -213,20 +215,57 @@
 
     async def exchange(self, path="/a/1", key="k1"):
         """Sends a request; returns the head and body of the answer."""
+        self.writer.write(self.head("GET", path, key=key))
+        return await self.read_answer()
+
+    def head(self, method, path, *more_lines, key="k1", deadline_ms=3000):
+        """Returns the head of a request with the next id."""
         self.cluster.request_count += 1
         lines = [
-            f"GET {path} HTTP/1.1",
+            f"{method} {path} HTTP/1.1",
             f"Host: {HOST}",
             f"X-Request-Id: q{self.cluster.request_count}",
-            "X-Deadline-Ms: 3000",
+            f"X-Deadline-Ms: {deadline_ms}",
             f"Authorization: Bearer {key}",
+            *more_lines,
         ]
-        self.writer.write("\r\n".join([*lines, "", ""]).encode())
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    async def read_answer(self):
+        """Returns the head and body of the next answer."""
         head = await self.reader.readuntil(b"\r\n\r\n")
         [length] = re.findall(rb"(?i)content-length: (\d+)", head)
         return head + await self.reader.readexactly(int(length))
 
 
+class ControlConnection:
+    """A kept connection of an operator to a control VM."""
+
+    def __init__(self, cluster, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        cluster.writers.append(writer)
+
+    @classmethod
+    async def open(cls, machine):
+        connection = await asyncio.open_connection(machine.ip, 7101)
+        return cls(machine.cluster, *connection)
+
+    async def patch(self, version):
+        """Sends `initial_patch`; returns the status and the decoded body."""
+        body = json.dumps(initial_patch(version)).encode()
+        lines = [
+            "POST /v1/rpc?call=config.patch HTTP/1.1",
+            "Host: control",
+            f"Content-Length: {len(body)}",
+        ]
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        [length] = re.findall(rb"(?i)content-length: (\d+)", head)
+        answer = await self.reader.readexactly(int(length))
+        return int(head.split()[1]), json.loads(answer)
+
+
 class Cluster:
     """Control VMs, entry VMs, stub upstreams and an HTTP client session."""
 
@@ -237,6 +276,7 @@
         self.control_vms = []
         self.entry_vms = []
         self.servers = []
+        self.writers = []
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=10.0)
         )
@@ -258,6 +298,8 @@
 
     async def stop(self):
         await self.session.close()
+        for writer in self.writers:
+            writer.close()
         for machine in [*self.control_vms, *self.entry_vms]:
             await machine.kill()
         for server in self.servers:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -7,8 +7,8 @@
 
 from pollenseam import hashing
 from pollenseam import pacing
+from pollenseam import requirements
 from pollenseam import statedlimits
-from pollenseam import steering
 
 VMS = {f"v{n}": "abc"[n % 3] for n in range(11)}
 MANY_VMS = {f"v{n}": "abc"[n % 3] for n in range(86)}
@@ -17,12 +17,13 @@
 def make_pools(vms, counts, rates):
     """Returns the pools of all VMs, all of which know the stated rates."""
     pools = []
+    sharing_vms = pacing.Vms(vms)
     for name, region in vms.items():
         pool = test_steering.pool_of(counts, region, name)
         pool.stated_limits = statedlimits.Table()
         for upstream, rate in rates.items():
             pool.stated_limits.record(upstream, 1, rate, 0.0)
-        pool.set_cold_limit(0.0, vms)
+        pool.set_cold_limit(0.0, sharing_vms)
         pools.append(pool)
     return pools
 
@@ -33,7 +34,7 @@
     for step in range(int(seconds / interval)):
         now = step * interval
         for pool in pools:
-            wanted = steering.Requirements(
+            wanted = requirements.Requirements(
                 "r1", "7", (), (), reserve_ratio=priority_reserve
             )
             choice = pool.choose(wanted, now)
@@ -82,7 +83,7 @@
     shares = collections.Counter()
     for pool in pools:
         for upstream in pool.upstreams.values():
-            shares[pool.region] += pool._own_rate(upstream, 0.0)
+            shares[pool.region] += pool.own_rate(upstream, 0.0)
     assert sum(shares.values()) == pytest.approx(18.0)
     assert min(shares.values()) >= 3.0
 
@@ -95,7 +96,7 @@
     pools = make_pools(MANY_VMS, {"a1": 1}, {"a1-0": 2.0})
 
     def count_senders(now):
-        rates = [p._own_rate(p.upstreams["a1-0"], now) for p in pools]
+        rates = [p.own_rate(p.upstreams["a1-0"], now) for p in pools]
         return sum(rate > 0 for rate in rates)
 
     assert count_senders(0.0) == pacing.MAX_SENDERS
@@ -114,5 +115,24 @@
 
 
 def test_the_order_of_a_vm_outside_the_directory_is_last():
-    fleet = pacing.Fleet("new", VMS, {})
+    fleet = pacing.Fleet("new", pacing.Vms(VMS), {})
     assert fleet.own_rank("a", hashing.hash64("i1")) == len(VMS)
+
+
+def test_the_vms_are_hashed_once_for_all_services(monkeypatch):
+    """Guards against work on each change that grows with VMs times services.
+
+    The slots of a region change with each upstream that comes or goes.
+    """
+    vms = pacing.Vms(MANY_VMS)
+    pools = [test_steering.pool_of({"a1": 2, "b1": 2}) for _ in range(3)]
+    hashed = []
+    compute = hashing.hash64
+    monkeypatch.setattr(
+        hashing, "hash64", lambda name: hashed.append(name) or compute(name)
+    )
+    for pool in pools:
+        pool.set_cold_limit(3.0, vms)
+        records = [u.record for u in pool.upstreams.values()]
+        pool.update(records[1:], test_steering.REGIONS, 1.0)
+    assert set(hashed) <= {"v0"}
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -301,9 +301,9 @@
     helper.lent_bytes = relayhelper.MAX_LENT_BYTES
     assert await is_refused(make_message(b"x"))
     helper.lent_bytes = 0
-    entry_vm.stop_deadline = entry_vm.now() + 0.5
+    entry_vm.stop_deadline.set(entry_vm.now() + 0.5)
     assert await is_refused(make_message())
-    entry_vm.stop_deadline = float("inf")
+    entry_vm.stop_deadline.set(float("inf"))
     entry_vm.freshness.as_of = None
     assert await is_refused(make_message())
     entry_vm.reach_watch.close()
