Calls between VMs: overlapping stops of a gRPC server end it once

Cause: grpcio's second stop cancels the calls of a server that the first one has freed meanwhile. The programs stop each server once today; nothing kept them from doing it twice, as on a second SIGTERM. Ruled out: the relays themselves; the crash needs no relay, only the two stops. Change: peers.Server keeps the task of its stop; later stops wait for it.

--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -429,6 +429,7 @@
         self.log = log
         self._handlers: dict[str, Any] = {}
         self._credentials = credentials
+        self._stop_task: asyncio.Task[None] | None = None
         self._server = grpc.aio.server(
             options=CHANNEL_OPTIONS,
             maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
@@ -569,5 +570,11 @@
         return int(self._server.add_secure_port(address, credentials))
 
     async def stop(self, grace: float) -> None:
-        """Stops serving; calls in progress have `grace` seconds to finish."""
-        await self._server.stop(grace)
+        """Stops serving; calls in progress have `grace` seconds to finish.
+
+        While it is being stopped, further calls wait for the first one, whose
+        grace counts: grpcio crashes if two stops of a server overlap.
+        """
+        if self._stop_task is None:
+            self._stop_task = asyncio.create_task(self._server.stop(grace))
+        await asyncio.shield(self._stop_task)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -28,6 +28,10 @@
     return server
 
 
+STOP_ROUNDS = 100
+OVERLAPPING_STOPS = 8
+
+
 def batch(number):
     return messages.Batch(str(number), "a", "b", 0, [])
 
@@ -156,3 +160,30 @@
     ]
     await client.close()
     await server.stop(0)
+
+
+async def test_overlapping_stops_of_a_server_end_it_once():
+    """Guards against a process that crashes as its server is stopped twice.
+
+    The second of two stops in progress used to cancel the calls of a server
+    that the first had freed.
+    """
+    for _ in range(STOP_ROUNDS):
+        address = f"127.0.0.1:{fleet.free_port()}"
+        server = peers.Server(events.LogicalClock(), traffic.Traffic())
+        client = peers.Client(events.LogicalClock())
+        stops = []
+
+        async def stop_and_wait(request, server=server, stops=stops):
+            for _ in range(OVERLAPPING_STOPS):
+                stops.append(asyncio.create_task(server.stop(0)))
+                await asyncio.sleep(0)
+            await asyncio.sleep(60)
+
+        server.handle(peers.READ, stop_and_wait)
+        await server.start(address)
+        with pytest.raises(errors.UnreachableError):
+            await client.call(address, peers.READ, messages.ReadIndex(0), 5.0)
+        await server.stop(0)
+        await asyncio.gather(*stops)
+        await client.close()
