Test of stated rates: all VMs know the upstream with room before traffic starts

Trace (entry-0's log): the VM had the registry up to index 3, which held i-1 alone; i-2 came with index 4, 26 ms after the refused request. The refusal was true: the only upstream that it knew had stated a rate. The test waited until each VM was served by any upstream, so the first requests raced the registry. Change: the upstream with room is added first, all VMs are served by it, then the one with a limit joins. Assertions, rates and durations are as before.

--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -45,14 +45,14 @@
     the other upstream has room, and no request is refused.
     """
     async with machines.running_cluster(tmp_path, entry_count=3) as cluster:
-        limited = await cluster.add_server("i-1")
         await cluster.add_server("i-2")
-        limited.reply_headers["Server-Limit"] = "1.5"
         async with cluster.sending_heartbeats():
             for entry_index in range(3):
                 await cluster.wait_until(
                     lambda n=entry_index: is_served(cluster, n)
                 )
+            limited = await cluster.add_server("i-1")
+            limited.reply_headers["Server-Limit"] = "1.5"
             statuses = await send_evenly(cluster, seconds=7.0, per_second=30)
     logs = [vm.read_log() for vm in cluster.entry_vms]
     assert all(shares_of_limits(log, "i-1") for log in logs)
