Entry VM: following the registry, and answers' counts and log lines, in modules of their own

entryvm.py held the loop that asks control VMs for changes, the choice of the source, and the counts and log lines of each kind of answer. A reload goes through EntryVm.reload. No behaviour changes; log lines, metrics and tests stay (two tests reach the freshness at its new place).

--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from pollenseam import answerlog
 from pollenseam import buckets
 from pollenseam import calls
 from pollenseam import controlmessages
@@ -11,7 +12,6 @@
 from pollenseam import dispatcher
 from pollenseam import errors
 from pollenseam import events
-from pollenseam import freshness
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import metrics
@@ -21,6 +21,7 @@
 from pollenseam import peers
 from pollenseam import reachwatch
 from pollenseam import registry
+from pollenseam import registryfollower
 from pollenseam import registrysync
 from pollenseam import relayhelper
 from pollenseam import relaying
@@ -33,14 +34,6 @@
 from pollenseam import vm
 from pollenseam import workestimates
 
-WATCH_WAIT_MS = 1000
-CALL_TIMEOUT_SECONDS = 0.6
-RETRY_SECONDS = 0.05
-# A source whose registry is older than this counts as partitioned from the
-# leader, and another source is used.
-MAX_SOURCE_AGE_SECONDS = 1.2
-SOURCE_BACKOFF_SECONDS = 2.0
-
 
 class Settings:
     """Start-up settings of an entry VM.
@@ -116,14 +109,11 @@
         peers: Client for calls to other VMs.
         now: Returns the time since boot in seconds.
         started_ms: Start of this process, in Unix milliseconds.
-        receiver: Copy of the registry in force on this VM, and the transfer
-            in progress.
-        directory: Control VMs and entry VMs of the fleet.
+        follower: Keeps the copy of the registry and the directory current.
         vms: The directory's entry VMs, which share the rates of upstreams.
         table: Routes and keys, compiled from the registry's items.
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
-        freshness: Age of the registry.
         fleet_view: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
         reach_watch: Follows which services this VM reaches.
@@ -134,6 +124,7 @@
         stop_deadline: When this VM stops, if it is leaving.
         in_flight: Number of calls being served.
         metrics: Counters and latencies of this VM.
+        answer_log: Counts and logs answers to callers.
     """
 
     def __init__(
@@ -148,13 +139,19 @@
         self.peers = peer_client
         self.now = vm.boot_seconds
         self.started_ms = time.time_ns() // 1_000_000
-        self.receiver = registrysync.Receiver()
-        self.directory = controlmessages.Directory()
+        self.follower = registryfollower.RegistryFollower(
+            _place(settings),
+            log,
+            peer_client,
+            self.now,
+            self._apply_update,
+            self._adopt_directory,
+            self._adopt_leader,
+        )
         self.vms = pacing.Vms({settings.name: settings.region})
         self.table = routing.Table()
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = workestimates.WorkEstimates()
-        self.freshness = freshness.Freshness()
         self.fleet_view = observations.FleetView()
         self.shares = shares.LeaseClient(
             log,
@@ -202,10 +199,17 @@
         self.is_leaving = False
         self.stop_deadline = stopping.StopDeadline()
         self.in_flight = 0
-        self._avoided_until: dict[str, float] = {}
+        self.answer_log = answerlog.AnswerLog(
+            log, self.metrics, self.now, self.follower, self.stop_deadline
+        )
         self._tasks = tasks.Group(log)
         self._was_fresh = False
 
+    def reload(self, settings: Settings) -> None:
+        """Replaces the settings of a running VM."""
+        self.settings = settings
+        self.follower.place = _place(settings)
+
     def _upstream_addresses(self, service: str) -> dict[str, str]:
         pool = self.pools.get(service)
         upstreams = pool.upstreams if pool is not None else {}
@@ -222,7 +226,7 @@
         settings = self.settings
         host = settings.address.rpartition(":")[0]
         await self.relay_helper.start(host, settings.relay_port)
-        self._tasks.spawn(self._watch())
+        self._tasks.spawn(self._follow())
         self._tasks.spawn(self.shares.run())
 
     async def leave(self, stop_deadline: float) -> None:
@@ -251,7 +255,7 @@
     @property
     def registry(self) -> registry.Registry:
         """Items and upstreams in force on this VM."""
-        return self.receiver.registry
+        return self.follower.registry
 
     @property
     def own_record(self) -> controlmessages.EntryVm:
@@ -275,94 +279,18 @@
 
     def is_fresh(self) -> bool:
         """Returns whether the settings are recent enough to accept keys."""
-        age = self.freshness.age(self.now())
+        age = self.follower.freshness.age(self.now())
         return age <= self.settings.max_settings_age_seconds
 
     # Following the registry.
 
-    async def _watch(self) -> None:
+    async def _follow(self) -> None:
         while True:
-            source = self._choose_source()
-            if not await self._watch_once(source):
-                self._avoided_until[source] = (
-                    self.now() + SOURCE_BACKOFF_SECONDS
-                )
-                await asyncio.sleep(RETRY_SECONDS)
+            await self.follower.follow_once()
             self._log_freshness()
             await self.relayer.close_idle()
 
-    def _choose_source(self) -> str:
-        """Returns the address of the nearest control VM not in back-off.
-
-        If all are in back-off, returns the one whose back-off ends first.
-        """
-        settings = self.settings
-        now = self.now()
-        controls = sorted(
-            self.directory.controls,
-            key=lambda c: (
-                c.failure_domain != settings.failure_domain,
-                c.region != settings.region,
-                c.address,
-            ),
-        )
-        addresses = [c.address for c in controls]
-        addresses += [s for s in settings.seeds if s not in addresses]
-        for address in addresses:
-            if self._avoided_until.get(address, 0.0) <= now:
-                return address
-        return min(addresses, key=lambda a: self._avoided_until[a])
-
-    async def _watch_once(self, source: str) -> bool:
-        receiver = self.receiver
-        wait_ms = WATCH_WAIT_MS
-        if receiver.is_transferring or self.freshness.as_of is None:
-            wait_ms = 0
-        request = controlmessages.Watch(
-            receiver.base_index,
-            wait_ms,
-            self.directory.version,
-            after=receiver.position,
-        )
-        sent_at = self.now()
-        timeout = wait_ms / 1000 + CALL_TIMEOUT_SECONDS
-        try:
-            response: controlmessages.WatchResponse = await self.peers.call(
-                source, controlmessages.WATCH, request, timeout
-            )
-        except errors.UnreachableError as error:
-            self.log.emit(
-                "source-unreachable",
-                source=source,
-                why=str(error),
-                index=self.registry.index,
-                seconds=self.now() - sent_at,
-            )
-            return False
-        if response.index < receiver.latest_index:
-            self.log.emit("source-behind", source=source, index=response.index)
-            return False
-        self._handle_response(response, sent_at)
-        self.shares.leader = response.leader or self.shares.leader
-        return 0 <= response.age_ms <= MAX_SOURCE_AGE_SECONDS * 1000
-
-    def _handle_response(
-        self, response: controlmessages.WatchResponse, sent_at: float
-    ) -> None:
-        if response.directory is not None:
-            if response.directory.version > self.directory.version:
-                self._adopt_directory(response.directory)
-        if response.page is None:
-            return
-        update = self.receiver.receive(response.page, response.index)
-        if update is None:
-            return
-        if update.is_whole or update.records:
-            self._apply_update(update)
-        self.freshness.record_age(sent_at, response.age_ms)
-
     def _adopt_directory(self, directory: controlmessages.Directory) -> None:
-        self.directory = directory
         self.dispatcher.vm_count = max(1, len(directory.entries))
         self.relayer.helpers.update(directory.entries)
         regions = {e.name: e.region for e in directory.entries}
@@ -433,6 +361,9 @@
         )
         self._divide_cold_rates()
 
+    def _adopt_leader(self, address: str) -> None:
+        self.shares.leader = address
+
     def _divide_cold_rates(self) -> None:
         for name, pool in self.pools.items():
             service = self.table.services.get(name)
@@ -479,7 +410,7 @@
             self._was_fresh = is_fresh
             self.log.emit(
                 "settings-fresh" if is_fresh else "settings-stale",
-                age_ms=self.freshness.age_ms(self.now()),
+                age_ms=self.follower.freshness.age_ms(self.now()),
                 index=self.registry.index,
             )
 
@@ -496,19 +427,19 @@
             active_call = self._admit(call)
             await self._take_token(call, active_call.deadline)
             reply = await self.dispatcher.dispatch(active_call)
-            self._record_reply(call, reply.status)
+            self.answer_log.record_reply(call, reply.status)
             return reply
         except errors.RefusedError as error:
-            self._record_refusal(call, error.refusal)
+            self.answer_log.record_refusal(call, error.refusal)
             raise
         except asyncio.CancelledError:
-            self._record_abandoned(call)
+            self.answer_log.record_abandoned(call)
             raise
         finally:
             self.in_flight -= 1
 
     def _admit(self, call: calls.Call) -> calls.ActiveCall:
-        if self.registry.index == 0 or self.freshness.as_of is None:
+        if self.registry.index == 0 or self.follower.freshness.as_of is None:
             raise errors.refuse(
                 errors.Kind.NOT_FRESH, "this VM has received no settings yet"
             )
@@ -569,44 +500,6 @@
             limit, tolerated, self.dispatcher.vm_count, random.random()
         )
 
-    def _record_reply(self, call: calls.Call, status: int) -> None:
-        entry_metrics = self.metrics
-        entry_metrics.answers.add(call.route, str(status))
-        entry_metrics.workspaces.add(call.workspace, "answered")
-        entry_metrics.latencies.observe(
-            call.route, self.now() - call.arrived_at
-        )
-
-    def _record_abandoned(self, call: calls.Call) -> None:
-        """Counts and logs a call whose connection was lost before a reply."""
-        now = self.now()
-        self.metrics.answers.add(call.route, "abandoned")
-        self.log.emit_often(
-            "abandoned",
-            request=call.id,
-            route=call.route or None,
-            held_seconds=now - call.arrived_at,
-            left_seconds=call.deadline - now,
-            leaving=self.is_leaving,
-            settings_index=self.registry.index,
-        )
-
-    def record_unparsed(self, id: str, refusal: errors.Refusal) -> None:
-        """Counts and logs a request that was refused while being received.
-
-        Args:
-            id: The caller's id of the request, or "".
-            refusal: Why it was refused.
-        """
-        self.metrics.answers.add("", refusal.kind.value)
-        self.log.emit_often(
-            "refused",
-            request=id,
-            kind=refusal.kind.value,
-            why=refusal.detail,
-            executed=refusal.executed,
-        )
-
     def expose(self) -> str:
         """Returns all metrics in the text exposition format."""
         upstreams = sum(len(pool.upstreams) for pool in self.pools.values())
@@ -617,36 +510,20 @@
                 "is_ready": self.is_ready,
                 "is_leaving": self.is_leaving,
                 "settings_index": self.registry.index,
-                "settings_age_seconds": self.freshness.age(self.now()),
+                "settings_age_seconds": self.follower.freshness.age(self.now()),
                 "upstreams": upstreams,
-                "entry_vms": len(self.directory.entries),
+                "entry_vms": len(self.follower.directory.entries),
                 "stated_limits": self.fleet_view.stated_limits.count,
                 **self.reach_watch.gauges(),
             }
         )
         return exposition + self.peers.traffic.expose()
 
-    def _record_refusal(
-        self, call: calls.Call, refusal: errors.Refusal
-    ) -> None:
-        now = self.now()
-        kind = refusal.kind.value
-        self.metrics.answers.add(call.route, kind)
-        self.metrics.workspaces.add(call.workspace, kind)
-        self.metrics.refusal_latencies.observe(kind, now - call.arrived_at)
-        self.log.emit_often(
-            "refused",
-            request=call.id,
-            route=call.route or None,
-            kind=kind,
-            why=refusal.detail,
-            executed=refusal.executed,
-            workspace=call.workspace or None,
-            held_seconds=now - call.arrived_at,
-            left_seconds=call.deadline - now,
-            settings_index=self.registry.index,
-            settings_age_ms=self.freshness.age_ms(now),
-        )
+
+def _place(settings: Settings) -> registryfollower.Place:
+    return registryfollower.Place(
+        settings.region, settings.failure_domain, settings.seeds
+    )
 
 
 def _common_regions(
--- a/src/pollenseam/stopping.py
+++ b/src/pollenseam/stopping.py
@@ -27,6 +27,11 @@
         self.deadline = float("inf")
         self._receiving: set[asyncio.Timeout] = set()
 
+    @property
+    def is_set(self) -> bool:
+        """Whether the VM is stopping."""
+        return self.deadline != float("inf")
+
     def set(self, deadline: float) -> None:
         """Sets the deadline at the beginning of a stop."""
         self.deadline = deadline
@@ -68,7 +73,7 @@
 
     def _receive_until(self) -> float | None:
         """Returns the limit in the event loop's time, or None."""
-        if self.deadline == float("inf"):
+        if not self.is_set:
             return None
         return vm.loop_deadline(self.deadline - REFUSAL_MARGIN_SECONDS)
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -304,7 +304,7 @@
     entry_vm.stop_deadline.set(entry_vm.now() + 0.5)
     assert await is_refused(make_message())
     entry_vm.stop_deadline.set(float("inf"))
-    entry_vm.freshness.as_of = None
+    entry_vm.follower.freshness.as_of = None
     assert await is_refused(make_message())
     entry_vm.reach_watch.close()
     await entry_vm.dispatcher.close()
--- a/tests/test_rogue_upstreams.py
+++ b/tests/test_rogue_upstreams.py
@@ -102,7 +102,7 @@
     current.record_upstreams(2, 0, [record])
     entry_vm._rebuild_table()
     entry_vm._rebuild_pools()
-    entry_vm.freshness.record_age(entry_vm.now(), 0)
+    entry_vm.follower.freshness.record_age(entry_vm.now(), 0)
     return entry_vm
 
 
