What upstreams state: the module of stated rates becomes one for all statements

statedlimits.py is upstreamstatements.py, its message Statement; the tables of entry VMs, pools and the leader are called statements. Log lines, metrics and what VMs exchange stay as they are.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -11,9 +11,9 @@
 from pollenseam import relaying
 from pollenseam import retries
 from pollenseam import sending
-from pollenseam import statedlimits
 from pollenseam import steering
 from pollenseam import suspects
+from pollenseam import upstreamstatements
 from pollenseam import vm
 
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -52,7 +52,7 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
-        stated_limits: statedlimits.Table,
+        statements: upstreamstatements.Table,
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
         relayer: relaying.Relayer,
@@ -70,7 +70,7 @@
             protocol,
             log,
             attempt_counter,
-            stated_limits,
+            statements,
             watchlist,
             crash_watch,
             self.reach_watch,
@@ -294,7 +294,7 @@
             )
         why = (
             "the upstreams accept no more requests now: "
-            f"{pool.stated_limits.count} state a rate, this VM may send the "
+            f"{pool.statements.count} state a rate, this VM may send the "
             f"next request in {wait:.3g} s"
         )
         return self._final_refusal(active_call, why, wait)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -27,10 +27,10 @@
 from pollenseam import relaying
 from pollenseam import routing
 from pollenseam import shares
-from pollenseam import statedlimits
 from pollenseam import steering
 from pollenseam import stopping
 from pollenseam import tasks
+from pollenseam import upstreamstatements
 from pollenseam import vm
 from pollenseam import workestimates
 
@@ -159,7 +159,7 @@
             self.now,
             lambda: self.own_record,
             self.fleet_view,
-            self._log_stated_limits,
+            self._log_statements,
         )
         self.metrics = metrics.EntryMetrics()
         self.reach_watch = reachwatch.ReachWatch(
@@ -181,7 +181,7 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
-            self.fleet_view.stated_limits,
+            self.fleet_view.statements,
             self.fleet_view.watchlist,
             crashwatch.CrashWatch(
                 log, self.now, self._record_crash, self._is_leaving
@@ -349,13 +349,13 @@
                     settings.region,
                     settings.failure_domain,
                     self.work_estimates,
-                    self.fleet_view.stated_limits,
+                    self.fleet_view.statements,
                 )
             pool.update(records, settings.regions, now)
             self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
-        self.fleet_view.stated_limits.retain(self.registry.upstreams)
+        self.fleet_view.statements.retain(self.registry.upstreams)
         self.dispatcher.sender.crash_watch.record_upstreams(
             self.registry.upstreams
         )
@@ -370,8 +370,8 @@
             rate = service.cold_rate if service is not None else 0.0
             pool.set_cold_limit(rate, self.vms)
 
-    def _log_stated_limits(
-        self, statements: list[statedlimits.StatedLimit]
+    def _log_statements(
+        self, statements: list[upstreamstatements.Statement]
     ) -> None:
         for statement in statements:
             record = self.registry.upstreams.get(statement.upstream)
@@ -383,7 +383,7 @@
                 "stated-limit",
                 upstream=statement.upstream,
                 service=upstream.record.service,
-                rate=statedlimits.shown(statement.rate),
+                rate=upstreamstatements.shown(statement.rate),
                 own_rate=pool.own_rate(upstream, self.now()),
                 age_ms=statement.age_ms,
                 source="other-vm",
@@ -513,7 +513,7 @@
                 "settings_age_seconds": self.follower.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "entry_vms": len(self.follower.directory.entries),
-                "stated_limits": self.fleet_view.stated_limits.count,
+                "stated_limits": self.fleet_view.statements.count,
                 **self.reach_watch.gauges(),
             }
         )
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from pollenseam import crashes
-from pollenseam import statedlimits
 from pollenseam import suspects
+from pollenseam import upstreamstatements
 
 
 class Revisions(msgspec.Struct, array_like=True, frozen=True):
@@ -19,12 +19,12 @@
 
     Attributes:
         term: Term of the leader.
-        stated_limits: Revision of the stated limits.
+        statements: Revision of the upstreams' statements.
         crashes: Revision of the record of crashes.
     """
 
     term: int = 0
-    stated_limits: int = 0
+    statements: int = 0
     crashes: int = 0
 
 
@@ -33,14 +33,14 @@
 
     Attributes:
         known: What the VM has received.
-        stated_limits: Rates stated by upstreams.
+        statements: What upstreams stated in their responses.
         crashed_runs: Requests that an upstream had when it ended.
         succeeded: Fingerprints of suspects that ran successfully.
         blocks: Blocks that the VM knows, if the leader may be new.
     """
 
     known: Revisions = Revisions()
-    stated_limits: tuple[statedlimits.StatedLimit, ...] = ()
+    statements: tuple[upstreamstatements.Statement, ...] = ()
     crashed_runs: tuple[crashes.CrashReport, ...] = ()
     succeeded: tuple[bytes, ...] = ()
     blocks: tuple[crashes.Suspicion, ...] = ()
@@ -51,12 +51,12 @@
 
     Attributes:
         revisions: What the VM has received with this update.
-        stated_limits: Rates stated by upstreams that changed since.
+        statements: Statements of upstreams that changed since.
         suspicions: Suspected requests that changed since.
     """
 
     revisions: Revisions
-    stated_limits: list[statedlimits.StatedLimit]
+    statements: list[upstreamstatements.Statement]
     suspicions: list[crashes.Suspicion]
 
 
@@ -64,15 +64,15 @@
     """What one entry VM knows of the observations of all VMs.
 
     Attributes:
-        stated_limits: Rates stated by upstreams.
+        statements: What upstreams stated in their responses.
         watchlist: Requests that may crash upstreams.
         known: What was received from the leader.
     """
 
-    __slots__ = ("stated_limits", "watchlist", "known")
+    __slots__ = ("statements", "watchlist", "known")
 
     def __init__(self) -> None:
-        self.stated_limits = statedlimits.Table()
+        self.statements = upstreamstatements.Table()
         self.watchlist = suspects.Watchlist()
         self.known = Revisions()
 
@@ -87,7 +87,7 @@
         watchlist.expire(now)
         return Report(
             self.known,
-            tuple(self.stated_limits.unreported(is_full, now)),
+            tuple(self.statements.unreported(is_full, now)),
             tuple(watchlist.reports(is_full, now)),
             tuple(watchlist.succeeded),
             tuple(watchlist.blocks(now)) if is_full else (),
@@ -95,15 +95,15 @@
 
     def receive(
         self, report: Report, update: Update, now: float
-    ) -> list[statedlimits.StatedLimit]:
+    ) -> list[upstreamstatements.Statement]:
         """Adopts the leader's answer to a report.
 
         Returns:
             Statements of other VMs that changed the rate in force.
         """
         self.known = update.revisions
-        self.stated_limits.mark_reported(report.stated_limits)
-        changed = self.stated_limits.adopt(update.stated_limits, now)
+        self.statements.mark_reported(report.statements)
+        changed = self.statements.adopt(update.statements, now)
         self.watchlist.mark_reported(report.crashed_runs, report.succeeded)
         self.watchlist.adopt(update.suspicions, now)
         return changed
@@ -113,32 +113,32 @@
     """What the leader knows of the observations of all VMs.
 
     Attributes:
-        stated_limits: Rates stated by upstreams.
+        statements: What upstreams stated in their responses.
         blocklist: Requests that may crash upstreams.
         on_block: Called with the fingerprint of each request that is
             blocked.
     """
 
-    __slots__ = ("stated_limits", "blocklist", "on_block")
+    __slots__ = ("statements", "blocklist", "on_block")
 
     def __init__(self, on_block: Callable[[bytes], None]) -> None:
-        self.stated_limits = statedlimits.Table()
+        self.statements = upstreamstatements.Table()
         self.blocklist = crashes.Blocklist()
         self.on_block = on_block
 
     def answer(self, report: Report, term: int, now: float) -> Update:
         """Adopts an entry VM's report and returns what it does not know."""
-        self.stated_limits.adopt(report.stated_limits, now)
+        self.statements.adopt(report.statements, now)
         self._adopt_crashes(report, now)
         known = report.known if report.known.term == term else Revisions()
         revisions = Revisions(
             term,
-            self.stated_limits.records.revision,
+            self.statements.records.revision,
             self.blocklist.suspects.revision,
         )
         return Update(
             revisions,
-            self.stated_limits.changes_since(known.stated_limits, now),
+            self.statements.changes_since(known.statements, now),
             self.blocklist.changes_since(known.crashes, now),
         )
 
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -20,9 +20,9 @@
 from pollenseam import registry
 from pollenseam import replybuffers
 from pollenseam import sessions
-from pollenseam import statedlimits
 from pollenseam import steering
 from pollenseam import suspects
+from pollenseam import upstreamstatements
 from pollenseam import upstreamstats
 from pollenseam import vm
 
@@ -48,7 +48,7 @@
         attempt_log: Counts and logs attempts.
         now: Returns the time since boot in seconds.
         reply_buffers: Bodies of replies that are being received.
-        stated_limits: Rates that upstreams state.
+        statements: What upstreams stated in their responses.
         watchlist: Requests that may crash upstreams.
         crash_watch: Finds out which upstreams ended with requests of this VM.
         reach_watch: Follows which services this VM reaches.
@@ -62,7 +62,7 @@
         protocol: calls.UpstreamProtocol,
         log: events.EventLog,
         attempt_counter: metrics.Counter,
-        stated_limits: statedlimits.Table,
+        statements: upstreamstatements.Table,
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
         reach_watch: reachwatch.ReachWatch,
@@ -73,7 +73,7 @@
         self.now = vm.boot_seconds
         self.attempt_log = attempts.AttemptLog(log, attempt_counter, self.now)
         self.reply_buffers = replybuffers.ReplyBuffers()
-        self.stated_limits = stated_limits
+        self.statements = statements
         self.watchlist = watchlist
         self.crash_watch = crash_watch
         self.reach_watch = reach_watch
@@ -312,21 +312,25 @@
         text: str,
     ) -> None:
         """Records the rate that an upstream's response states, if any."""
-        rate = statedlimits.parse(text) if text else statedlimits.NO_LIMIT
+        rate = (
+            upstreamstatements.parse(text)
+            if text
+            else upstreamstatements.NO_LIMIT
+        )
         record = upstream.record
         if rate is None:
             self.log.emit_often(
                 "stated-limit-invalid", upstream=record.id, text=text
             )
-            rate = statedlimits.NO_LIMIT
-        if self.stated_limits.record(
+            rate = upstreamstatements.NO_LIMIT
+        if self.statements.record(
             record.id, record.started_ms, rate, self.now()
         ):
             self.log.emit_often(
                 "stated-limit",
                 upstream=record.id,
                 service=record.service,
-                rate=statedlimits.shown(rate),
+                rate=upstreamstatements.shown(rate),
                 own_rate=pool.own_rate(upstream, self.now()),
                 age_ms=0,
                 source="response",
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -14,7 +14,7 @@
 from pollenseam import observations
 from pollenseam import peers
 from pollenseam import replicarunner
-from pollenseam import statedlimits
+from pollenseam import upstreamstatements
 
 CALL_TIMEOUT_SECONDS = 0.6
 RENEW_SECONDS = 0.5
@@ -36,7 +36,7 @@
         now: Returns the time in seconds.
         own_record: Returns this VM's record, which every renewal carries.
         fleet_view: Observations at upstreams that renewals carry.
-        on_stated_limits: Called with the statements of other VMs that changed
+        on_statements: Called with the statements of other VMs that changed
             the rate in force of an upstream.
         lease_table: Accounts by workspace.
         leader: Address of the leader, or "" if unknown.
@@ -50,14 +50,14 @@
         now: replicarunner.Clock,
         own_record: Callable[[], controlmessages.EntryVm],
         fleet_view: observations.FleetView,
-        on_stated_limits: Callable[[list[statedlimits.StatedLimit]], None],
+        on_statements: Callable[[list[upstreamstatements.Statement]], None],
     ) -> None:
         self.log = log
         self.peers = peer_client
         self.now = now
         self.own_record = own_record
         self.fleet_view = fleet_view
-        self.on_stated_limits = on_stated_limits
+        self.on_statements = on_statements
         self.lease_table = buckets.LeaseTable()
         self.leader = ""
         self.wake = asyncio.Event()
@@ -114,7 +114,7 @@
             changed = self.fleet_view.receive(
                 request.observed, answer.observed, now
             )
-            self.on_stated_limits(changed)
+            self.on_statements(changed)
             self._log_observations(answer.observed)
         self._synced_leader = ""
         if answer.scarce_resources is not None:
@@ -129,10 +129,10 @@
         return True
 
     def _log_observations(self, update: observations.Update) -> None:
-        if update.stated_limits or update.suspicions:
+        if update.statements or update.suspicions:
             self.log.emit_often(
                 "observations-received",
-                stated_limits=len(update.stated_limits),
+                stated_limits=len(update.statements),
                 suspicions=len(update.suspicions),
                 blocked=sum(s.blocked_ms > 0 for s in update.suspicions),
             )
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -18,7 +18,7 @@
 from pollenseam import rankings
 from pollenseam import registry
 from pollenseam import requirements
-from pollenseam import statedlimits
+from pollenseam import upstreamstatements
 from pollenseam import upstreamstats
 from pollenseam import workestimates
 
@@ -94,7 +94,7 @@
         cold_rate: Requests per second that a cold upstream accepts from all
             VMs together; 0 if there is no limit.
         fleet: Entry VMs that share the rates of upstreams.
-        stated_limits: Rates that upstreams state.
+        statements: What upstreams stated in their responses.
         work_estimates: Expected processing time by route.
         rankings: Rankings of the upstreams, by object.
         overflow_limit: Limits requests that leave their preferred region.
@@ -106,7 +106,7 @@
         "failure_domain",
         "cold_rate",
         "fleet",
-        "stated_limits",
+        "statements",
         "work_estimates",
         "rankings",
         "overflow_limit",
@@ -118,11 +118,11 @@
         region: str,
         failure_domain: str,
         work_estimates: workestimates.WorkEstimates,
-        stated_limits: statedlimits.Table | None = None,
+        statements: upstreamstatements.Table | None = None,
     ) -> None:
         self.upstreams: dict[str, upstreamstats.UpstreamStats] = {}
         self.fleet = pacing.Fleet(name, pacing.Vms({name: region}), {})
-        self.stated_limits = stated_limits or statedlimits.Table()
+        self.statements = statements or upstreamstatements.Table()
         self.region = region
         self.failure_domain = failure_domain
         self.cold_rate = 0.0
@@ -201,7 +201,7 @@
     ) -> float | None:
         """Returns this VM's part of the rate; None if it is not limited."""
         record = upstream.record
-        stated = self.stated_limits.in_force(record.id, record.started_ms)
+        stated = self.statements.in_force(record.id, record.started_ms)
         is_cold = upstream.cold_until > now and self.cold_rate > 0
         if stated is None and not is_cold:
             return None
--- a/src/pollenseam/statedlimits.py
+++ b/src/pollenseam/upstreamstatements.py
@@ -1,4 +1,4 @@
-"""Request rates that upstreams state in their responses.
+"""What upstreams state in their responses: how many requests they accept.
 
 An upstream states how many requests per second it accepts from all VMs
 together, and repeats it in each response for as long as it is in force.
@@ -22,7 +22,7 @@
 _DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?", re.ASCII)
 
 
-class StatedLimit(msgspec.Struct, array_like=True):
+class Statement(msgspec.Struct, array_like=True):
     """What one response of an upstream said, as sent between VMs.
 
     Attributes:
@@ -120,14 +120,14 @@
         return has_changed
 
     def adopt(
-        self, statements: Iterable[StatedLimit], now: float
-    ) -> list[StatedLimit]:
+        self, statements: Iterable[Statement], now: float
+    ) -> list[Statement]:
         """Records statements that other VMs read, as known to all.
 
         Returns:
             The statements that changed the rate in force.
         """
-        changed: list[StatedLimit] = []
+        changed: list[Statement] = []
         for statement in statements:
             read_at = now - statement.age_ms / 1000
             if self.record(
@@ -140,7 +140,7 @@
             self._mark_reported(statement)
         return changed
 
-    def unreported(self, is_full: bool, now: float) -> list[StatedLimit]:
+    def unreported(self, is_full: bool, now: float) -> list[Statement]:
         """Returns the statements that other VMs do not know yet.
 
         An unchanged rate counts as unknown again after REFRESH_SECONDS, so
@@ -156,18 +156,18 @@
             if is_full or record.is_unreported
         ]
 
-    def mark_reported(self, statements: Iterable[StatedLimit]) -> None:
+    def mark_reported(self, statements: Iterable[Statement]) -> None:
         """Records that the leader has received these statements."""
         for statement in statements:
             self._mark_reported(statement)
 
-    def _mark_reported(self, statement: StatedLimit) -> None:
+    def _mark_reported(self, statement: Statement) -> None:
         record = self.records.get(statement.upstream)
         if record is not None and record.started_ms == statement.started_ms:
             record.reported_rate = statement.rate
             record.reported_at = record.read_at
 
-    def changes_since(self, revision: int, now: float) -> list[StatedLimit]:
+    def changes_since(self, revision: int, now: float) -> list[Statement]:
         """Returns the statements that were recorded after a revision."""
         return [
             _to_message(upstream, record, now)
@@ -185,9 +185,9 @@
         return sum(r.rate != NO_LIMIT for r in self.records.values())
 
 
-def _to_message(upstream: str, record: Record, now: float) -> StatedLimit:
+def _to_message(upstream: str, record: Record, now: float) -> Statement:
     age_ms = max(0, int((now - record.read_at) * 1000))
-    return StatedLimit(upstream, record.started_ms, record.rate, age_ms)
+    return Statement(upstream, record.started_ms, record.rate, age_ms)
 
 
 def shown(rate: float) -> float | None:
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -1,7 +1,7 @@
 """Exchange of observations between entry VMs, through the leader."""
 
 from pollenseam import observations
-from pollenseam import statedlimits
+from pollenseam import upstreamstatements
 
 
 class Fleet:
@@ -19,24 +19,28 @@
             view.receive(report, update, now)
 
     def rates(self):
-        records = [v.stated_limits.in_force("i1", 1) for v in self.views]
+        records = [v.statements.in_force("i1", 1) for v in self.views]
         return [record and record.rate for record in records]
 
 
 def test_all_vms_know_within_two_renewals_what_one_of_them_read():
     """Guards against VMs that send as before, as they were not told."""
     fleet = Fleet(5)
-    for now, rate in ((0.0, 2.0), (10.0, 0.5), (20.0, statedlimits.NO_LIMIT)):
-        fleet.views[3].stated_limits.record("i1", 1, rate, now)
+    for now, rate in (
+        (0.0, 2.0),
+        (10.0, 0.5),
+        (20.0, upstreamstatements.NO_LIMIT),
+    ):
+        fleet.views[3].statements.record("i1", 1, rate, now)
         fleet.renew(now)
         fleet.renew(now + 0.5)
-        expected = None if rate == statedlimits.NO_LIMIT else rate
+        expected = None if rate == upstreamstatements.NO_LIMIT else rate
         assert fleet.rates() == [expected] * 5
 
 
 def test_what_is_known_survives_the_leader_and_the_vm_that_read_it():
     fleet = Fleet(5)
-    fleet.views[0].stated_limits.record("i1", 1, 2.0, 0.0)
+    fleet.views[0].statements.record("i1", 1, 2.0, 0.0)
     fleet.renew(0.0)
     fleet.renew(0.5)
     fleet.views[0] = observations.FleetView()
@@ -49,8 +53,8 @@
 
 def test_a_statement_that_is_passed_on_late_does_not_replace_a_later_one():
     fleet = Fleet(2)
-    fleet.views[0].stated_limits.record("i1", 1, 2.0, 0.0)
-    fleet.views[1].stated_limits.record("i1", 1, 3.0, 1.0)
+    fleet.views[0].statements.record("i1", 1, 2.0, 0.0)
+    fleet.views[1].statements.record("i1", 1, 3.0, 1.0)
     fleet.renew(1.5)
     fleet.renew(2.0)
     assert fleet.rates() == [3.0, 3.0]
@@ -63,9 +67,9 @@
     for step in range(40):
         now = step * 0.5
         for view in fleet.views:
-            view.stated_limits.record("i1", 1, 2.0, now)
-            sent += len(view.build_report(False, now).stated_limits)
+            view.statements.record("i1", 1, 2.0, now)
+            sent += len(view.build_report(False, now).statements)
         fleet.renew(now)
-    assert sent <= 3 + 20.0 / statedlimits.REFRESH_SECONDS * 3
-    [record] = fleet.views[0].stated_limits.records.values()
+    assert sent <= 3 + 20.0 / upstreamstatements.REFRESH_SECONDS * 3
+    [record] = fleet.views[0].statements.records.values()
     assert record.read_at == 19.5
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -8,7 +8,7 @@
 from pollenseam import hashing
 from pollenseam import pacing
 from pollenseam import requirements
-from pollenseam import statedlimits
+from pollenseam import upstreamstatements
 
 VMS = {f"v{n}": "abc"[n % 3] for n in range(11)}
 MANY_VMS = {f"v{n}": "abc"[n % 3] for n in range(86)}
@@ -20,9 +20,9 @@
     sharing_vms = pacing.Vms(vms)
     for name, region in vms.items():
         pool = test_steering.pool_of(counts, region, name)
-        pool.stated_limits = statedlimits.Table()
+        pool.statements = upstreamstatements.Table()
         for upstream, rate in rates.items():
-            pool.stated_limits.record(upstream, 1, rate, 0.0)
+            pool.statements.record(upstream, 1, rate, 0.0)
         pool.set_cold_limit(0.0, sharing_vms)
         pools.append(pool)
     return pools
