DRAIN: an upstream that says it leaves gets no more requests, from any VM

What happened: nothing read the statement. Pool.seconds_until_allowed is the one place that says whether and when a request may go to an upstream; first attempts, retries, probes and relayed calls all ask it. The connection of such a response is closed, running ones end. Ruled out: to let the leader mark the upstream in the registry; a wrong statement heard by one VM would be agreed on for good.

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -101,6 +101,9 @@
         waiting: Requests that are queued at the upstream.
         stated_limit: Requests per second that the upstream accepts from all
             VMs together, as text; "" if not stated.
+        is_leaving: Whether the upstream says that it leaves.
+        pause: Seconds for which the upstream wants no request of this VM, as
+            text; "" if not stated.
     """
 
     __slots__ = (
@@ -110,6 +113,8 @@
         "running",
         "waiting",
         "stated_limit",
+        "is_leaving",
+        "pause",
     )
 
     def __init__(
@@ -120,6 +125,8 @@
         running: int = -1,
         waiting: int = 0,
         stated_limit: str = "",
+        is_leaving: bool = False,
+        pause: str = "",
     ) -> None:
         self.is_not_run = is_not_run
         self.is_replaced = is_replaced
@@ -127,6 +134,8 @@
         self.running = running
         self.waiting = waiting
         self.stated_limit = stated_limit
+        self.is_leaving = is_leaving
+        self.pause = pause
 
 
 class UpstreamProtocol(Protocol):
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -11,9 +11,9 @@
 from pollenseam import relaying
 from pollenseam import retries
 from pollenseam import sending
+from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import suspects
-from pollenseam import upstreamstatements
 from pollenseam import vm
 
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -52,7 +52,7 @@
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
-        statements: upstreamstatements.Table,
+        statement_watch: statementwatch.StatementWatch,
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
         relayer: relaying.Relayer,
@@ -70,7 +70,7 @@
             protocol,
             log,
             attempt_counter,
-            statements,
+            statement_watch,
             watchlist,
             crash_watch,
             self.reach_watch,
@@ -292,10 +292,13 @@
             return self._final_refusal(
                 active_call, "no upstream is serving", NO_UPSTREAM_SECONDS
             )
+        statements = pool.statements
         why = (
             "the upstreams accept no more requests now: "
-            f"{pool.statements.count} state a rate, this VM may send the "
-            f"next request in {wait:.3g} s"
+            f"{statements.count} state a rate, "
+            f"{statements.paused_count(now)} asked for a pause, "
+            f"{statements.leaving_count} leave; this VM may send the next "
+            f"request in {wait:.3g} s"
         )
         return self._final_refusal(active_call, why, wait)
 
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -1,6 +1,7 @@
 """An entry VM: follows the registry, leases rate shares and serves calls."""
 
 import asyncio
+import collections
 import random
 import time
 
@@ -27,6 +28,7 @@
 from pollenseam import relaying
 from pollenseam import routing
 from pollenseam import shares
+from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import stopping
 from pollenseam import tasks
@@ -116,6 +118,7 @@
         work_estimates: Observed work per route, common to all pools.
         fleet_view: Observations at upstreams, shared by all VMs.
         shares: Leased shares of the workspaces' rates.
+        statement_watch: Follows what upstreams state in their responses.
         reach_watch: Follows which services this VM reaches.
         relayer: Has calls sent by other entry VMs.
         relay_helper: Sends calls of other entry VMs.
@@ -162,6 +165,9 @@
             self._log_statements,
         )
         self.metrics = metrics.EntryMetrics()
+        self.statement_watch = statementwatch.StatementWatch(
+            self.fleet_view.statements, log, self.now, self.metrics.statements
+        )
         self.reach_watch = reachwatch.ReachWatch(
             log, self.now, self.metrics.connects, self._upstream_addresses
         )
@@ -181,7 +187,7 @@
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
-            self.fleet_view.statements,
+            self.statement_watch,
             self.fleet_view.watchlist,
             crashwatch.CrashWatch(
                 log, self.now, self._record_crash, self._is_leaving
@@ -288,6 +294,7 @@
         while True:
             await self.follower.follow_once()
             self._log_freshness()
+            self.statement_watch.end_pauses()
             await self.relayer.close_idle()
 
     def _adopt_directory(self, directory: controlmessages.Directory) -> None:
@@ -355,7 +362,7 @@
             self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
-        self.fleet_view.statements.retain(self.registry.upstreams)
+        self.statement_watch.retain(self.registry.upstreams)
         self.dispatcher.sender.crash_watch.record_upstreams(
             self.registry.upstreams
         )
@@ -379,15 +386,7 @@
             if pool is None or statement.upstream not in pool.upstreams:
                 continue
             upstream = pool.upstreams[statement.upstream]
-            self.log.emit_often(
-                "stated-limit",
-                upstream=statement.upstream,
-                service=upstream.record.service,
-                rate=upstreamstatements.shown(statement.rate),
-                own_rate=pool.own_rate(upstream, self.now()),
-                age_ms=statement.age_ms,
-                source="other-vm",
-            )
+            self.statement_watch.log_received(statement, pool, upstream)
 
     def _is_leaving(self, upstream: crashwatch.UpstreamStart) -> bool:
         latest = self.registry.upstreams.get(upstream.id)
@@ -500,6 +499,20 @@
             limit, tolerated, self.dispatcher.vm_count, random.random()
         )
 
+    def _statement_gauges(self) -> dict[str, float]:
+        statements = self.fleet_view.statements
+        kept_away: collections.Counter[str] = collections.Counter()
+        for pool in self.pools.values():
+            kept_away += pool.kept_away
+        return {
+            "stated_limits": statements.count,
+            "leaving_upstreams": statements.leaving_count,
+            "paused_upstreams": statements.paused_count(self.now()),
+            "kept_away_leaving": kept_away["leaving"],
+            "kept_away_pause": kept_away["pause"],
+            "kept_away_rate": kept_away["rate"],
+        }
+
     def expose(self) -> str:
         """Returns all metrics in the text exposition format."""
         upstreams = sum(len(pool.upstreams) for pool in self.pools.values())
@@ -513,7 +526,7 @@
                 "settings_age_seconds": self.follower.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "entry_vms": len(self.follower.directory.entries),
-                "stated_limits": self.fleet_view.statements.count,
+                **self._statement_gauges(),
                 **self.reach_watch.gauges(),
             }
         )
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -117,6 +117,7 @@
         attempts: Requests sent to upstreams, by service and outcome.
         connects: Connections to upstreams, by service and outcome.
         relays: Calls given to other VMs, by service and outcome.
+        statements: What upstreams stated, by kind and outcome.
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
         apply_latencies: Time to put a change of the registry in force, by
@@ -129,6 +130,7 @@
         "attempts",
         "connects",
         "relays",
+        "statements",
         "latencies",
         "refusal_latencies",
         "apply_latencies",
@@ -140,6 +142,7 @@
         self.attempts = Counter("tries_total", "service", "outcome")
         self.connects = Counter("connects_total", "service", "outcome")
         self.relays = Counter("relays_total", "service", "outcome")
+        self.statements = Counter("statements_total", "kind", "outcome")
         self.latencies = Summary("latency_seconds", "route")
         self.refusal_latencies = Summary("refusal_held_seconds", "kind")
         self.apply_latencies = Summary("registry_apply_seconds", "content")
@@ -153,6 +156,7 @@
         counters = (
             self.connects,
             self.relays,
+            self.statements,
             self.attempts,
             self.answers,
             self.workspaces,
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -20,9 +20,9 @@
 from pollenseam import registry
 from pollenseam import replybuffers
 from pollenseam import sessions
+from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import suspects
-from pollenseam import upstreamstatements
 from pollenseam import upstreamstats
 from pollenseam import vm
 
@@ -48,7 +48,7 @@
         attempt_log: Counts and logs attempts.
         now: Returns the time since boot in seconds.
         reply_buffers: Bodies of replies that are being received.
-        statements: What upstreams stated in their responses.
+        statement_watch: Records what upstreams state in responses.
         watchlist: Requests that may crash upstreams.
         crash_watch: Finds out which upstreams ended with requests of this VM.
         reach_watch: Follows which services this VM reaches.
@@ -62,7 +62,7 @@
         protocol: calls.UpstreamProtocol,
         log: events.EventLog,
         attempt_counter: metrics.Counter,
-        statements: upstreamstatements.Table,
+        statement_watch: statementwatch.StatementWatch,
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
         reach_watch: reachwatch.ReachWatch,
@@ -73,7 +73,7 @@
         self.now = vm.boot_seconds
         self.attempt_log = attempts.AttemptLog(log, attempt_counter, self.now)
         self.reply_buffers = replybuffers.ReplyBuffers()
-        self.statements = statements
+        self.statement_watch = statement_watch
         self.watchlist = watchlist
         self.crash_watch = crash_watch
         self.reach_watch = reach_watch
@@ -263,21 +263,19 @@
         is_complete = False
         try:
             head = self.protocol.read_head(active_call.call, response)
+            self.statement_watch.record_head(active_call.pool, upstream, head)
             body = await self.reply_buffers.read(response)
             is_complete = head.matches_request and not head.is_replaced
         finally:
             # A connection that may still carry response data must not be
-            # reused: the data would be read as the next response.
-            if is_complete:
+            # reused: the data would be read as the next response. One to an
+            # upstream that leaves is not needed any more.
+            if is_complete and not head.is_leaving:
                 response.release()
             else:
                 response.close()
         self.reach_watch.record_reply(active_call.service)
         now = self.now()
-        if not head.is_replaced and (head.matches_request or head.is_not_run):
-            self._record_stated_limit(
-                active_call.pool, upstream, head.stated_limit
-            )
         if head.running >= 0:
             upstream.record_load_report(head.running, head.waiting, now)
             # This request has ended at the upstream, but this VM still counts
@@ -305,37 +303,6 @@
         )
         return self._evaluate_reply(active_call, choice, reply, started)
 
-    def _record_stated_limit(
-        self,
-        pool: steering.Pool,
-        upstream: upstreamstats.UpstreamStats,
-        text: str,
-    ) -> None:
-        """Records the rate that an upstream's response states, if any."""
-        rate = (
-            upstreamstatements.parse(text)
-            if text
-            else upstreamstatements.NO_LIMIT
-        )
-        record = upstream.record
-        if rate is None:
-            self.log.emit_often(
-                "stated-limit-invalid", upstream=record.id, text=text
-            )
-            rate = upstreamstatements.NO_LIMIT
-        if self.statements.record(
-            record.id, record.started_ms, rate, self.now()
-        ):
-            self.log.emit_often(
-                "stated-limit",
-                upstream=record.id,
-                service=record.service,
-                rate=upstreamstatements.shown(rate),
-                own_rate=pool.own_rate(upstream, self.now()),
-                age_ms=0,
-                source="response",
-            )
-
     def _record_not_run(
         self,
         active_call: calls.ActiveCall,
--- /dev/null
+++ b/src/pollenseam/statementwatch.py
@@ -0,0 +1,142 @@
+"""Records and logs what upstreams state in their responses."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from pollenseam import calls
+from pollenseam import events
+from pollenseam import metrics
+from pollenseam import registry
+from pollenseam import steering
+from pollenseam import upstreamstatements
+from pollenseam import upstreamstats
+
+
+class StatementWatch:
+    """Follows the statements of the upstreams of an entry VM.
+
+    Attributes:
+        table: The latest statements.
+        log: Event log.
+        now: Returns the time since boot in seconds.
+        counter: Counts statements by kind and outcome.
+    """
+
+    __slots__ = ("table", "log", "now", "counter")
+
+    def __init__(
+        self,
+        table: upstreamstatements.Table,
+        log: events.EventLog,
+        now: Callable[[], float],
+        counter: metrics.Counter,
+    ) -> None:
+        self.table = table
+        self.log = log
+        self.now = now
+        self.counter = counter
+
+    def record_head(
+        self,
+        pool: steering.Pool,
+        upstream: upstreamstats.UpstreamStats,
+        head: calls.ReplyHead,
+    ) -> None:
+        """Records what the head of a response states."""
+        if head.is_replaced:
+            return
+        if head.is_leaving:
+            self._record_leaving(upstream)
+        if head.matches_request or head.is_not_run:
+            self._record_rate(pool, upstream, head.stated_limit)
+
+    def _record_leaving(self, upstream: upstreamstats.UpstreamStats) -> None:
+        record = upstream.record
+        if self.table.record_leaving(record.id, record.started_ms, self.now()):
+            self.counter.add("leaving", "heard")
+            self._log_leaving(upstream, 0, "response")
+
+    def _log_leaving(
+        self, upstream: upstreamstats.UpstreamStats, age_ms: int, source: str
+    ) -> None:
+        self.log.emit_often(
+            "stated-leaving",
+            upstream=upstream.record.id,
+            service=upstream.record.service,
+            in_flight=upstream.in_flight,
+            age_ms=age_ms,
+            source=source,
+        )
+
+    def _record_rate(
+        self,
+        pool: steering.Pool,
+        upstream: upstreamstats.UpstreamStats,
+        text: str,
+    ) -> None:
+        """Records the rate that a response states; "" if it states none."""
+        no_limit = upstreamstatements.NO_LIMIT
+        rate = upstreamstatements.parse(text) if text else no_limit
+        record = upstream.record
+        if rate is None:
+            self.counter.add("rate", "invalid")
+            self.log.emit_often(
+                "stated-limit-invalid", upstream=record.id, text=text
+            )
+            rate = no_limit
+        if self.table.record(record.id, record.started_ms, rate, self.now()):
+            self.counter.add("rate", "heard")
+            self._log_rate(pool, upstream, rate, 0, "response")
+
+    def _log_rate(
+        self,
+        pool: steering.Pool,
+        upstream: upstreamstats.UpstreamStats,
+        rate: float,
+        age_ms: int,
+        source: str,
+    ) -> None:
+        self.log.emit_often(
+            "stated-limit",
+            upstream=upstream.record.id,
+            service=upstream.record.service,
+            rate=upstreamstatements.shown(rate),
+            own_rate=pool.own_rate(upstream, self.now()),
+            age_ms=age_ms,
+            source=source,
+        )
+
+    def log_received(
+        self,
+        statement: upstreamstatements.Statement,
+        pool: steering.Pool,
+        upstream: upstreamstats.UpstreamStats,
+    ) -> None:
+        """Logs a statement that another VM read and that changed something."""
+        if statement.is_leaving:
+            self.counter.add("leaving", "received")
+            self._log_leaving(upstream, statement.age_ms, "other-vm")
+            return
+        self.counter.add("rate", "received")
+        self._log_rate(
+            pool, upstream, statement.rate, statement.age_ms, "other-vm"
+        )
+
+    def retain(self, upstreams: Mapping[str, registry.Upstream]) -> None:
+        """Drops statements of upstreams that ended or started again."""
+        now = self.now()
+        for upstream, record in self.table.retain(upstreams, now):
+            self.log.emit_often(
+                "statement-cleared",
+                upstream=upstream,
+                leaving=record.is_leaving,
+                paused_seconds=max(0.0, record.paused_until - now),
+                kept_away=record.kept_away,
+            )
+
+    def end_pauses(self) -> None:
+        """Logs the pauses whose time is over."""
+        for upstream, record in self.table.end_pauses(self.now()):
+            self.log.emit_often(
+                "pause-ended", upstream=upstream, kept_away=record.kept_away
+            )
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -9,6 +9,7 @@
 has it in its cache.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -98,6 +99,8 @@
         work_estimates: Expected processing time by route.
         rankings: Rankings of the upstreams, by object.
         overflow_limit: Limits requests that leave their preferred region.
+        kept_away: Times that a request was kept away from an upstream, by what
+            the upstream stated: "leaving", "pause" or "rate".
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "work_estimates",
         "rankings",
         "overflow_limit",
+        "kept_away",
     )
 
     def __init__(
@@ -128,6 +132,7 @@
         self.cold_rate = 0.0
         self.work_estimates = work_estimates
         self.overflow_limit = overflow.OverflowLimit()
+        self.kept_away: collections.Counter[str] = collections.Counter()
         self.rankings = rankings.Rankings(region)
 
     def update(
@@ -182,19 +187,47 @@
         if vms is not fleet.vms or room_ratios != fleet.room_ratios:
             self.fleet = pacing.Fleet(fleet.name, vms, room_ratios)
 
-    def _admits(
+    def seconds_until_allowed(
         self,
         upstream: upstreamstats.UpstreamStats,
         required: requirements.Requirements,
         now: float,
-    ) -> bool:
-        """Returns whether this VM may send a request to an upstream now.
+    ) -> float | None:
+        """Returns when this VM may send a request to an upstream.
+
+        This is the one place that knows what an upstream stated: that it
+        leaves, a pause, a rate, or that it is cold. This VM's part of a limited
+        rate is computed here, when it is needed, because only a few of many
+        upstreams limit it at a time.
 
-        This VM's part of a limited rate is computed here, when it is needed,
-        because only a few of many upstreams limit it at a time.
+        Returns:
+            The time in seconds, 0 for now; None if never, as far as is known.
         """
+        record = upstream.record
+        if self.statements.is_over(record.id, record.started_ms):
+            return None
+        stated = self.statements.find(record.id, record.started_ms)
+        pause_seconds = stated.paused_until - now if stated is not None else 0.0
         upstream.pacer.set_rate(self.own_rate(upstream, now), now)
-        return upstream.pacer.admits(required.reserve_ratio, now)
+        wait_seconds = upstream.pacer.wait_seconds(required.reserve_ratio, now)
+        if wait_seconds is None:
+            return None
+        return max(0.0, pause_seconds, wait_seconds)
+
+    def _keep_away(
+        self, upstream: upstreamstats.UpstreamStats, now: float
+    ) -> None:
+        """Counts a request that must not be sent to an upstream now."""
+        record = upstream.record
+        stated = self.statements.find(record.id, record.started_ms)
+        reason = "rate"
+        if self.statements.is_over(record.id, record.started_ms):
+            reason = "leaving"
+        elif stated is not None and stated.paused_until > now:
+            reason = "pause"
+        if stated is not None:
+            stated.kept_away += 1
+        self.kept_away[reason] += 1
 
     def own_rate(
         self, upstream: upstreamstats.UpstreamStats, now: float
@@ -223,7 +256,7 @@
         The result is None if none will, as far as this VM knows.
         """
         waits = [
-            upstream.pacer.wait_seconds(required.reserve_ratio, now)
+            self.seconds_until_allowed(upstream, required, now)
             for upstream in self.upstreams.values()
             if self._is_allowed(upstream, required)
         ]
@@ -259,7 +292,8 @@
         for rank, upstream in ranked:
             if not self._is_allowed(upstream, required):
                 continue
-            if not self._admits(upstream, required, now):
+            if self.seconds_until_allowed(upstream, required, now) != 0.0:
+                self._keep_away(upstream, now)
                 continue
             choice = self._evaluate(upstream, rank, required, now)
             penalty = costs.penalty_seconds(
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -125,6 +125,7 @@
         self.started_at_ms = time.time_ns() // 1_000_000
         self.received_requests = []
         self.arrived_at = []
+        self.arrived_paths = []
         self.reply_headers = {}
         self.delay_seconds = 0.0
         self.status = 200
@@ -150,6 +151,7 @@
         if request.headers.get("X-Expect-Instance") != self.id:
             return web.Response(status=421, headers=reply_headers)
         self.arrived_at.append(time.monotonic())
+        self.arrived_paths.append(request.path)
         if request.path == self.deadly_path:
             task = asyncio.create_task(self.crash())
             self.tasks.add(task)
