BUDGET: an upstream gets the pause that it asks for

Test on real programs, three entry VMs, the other upstream too slow for all requests: 4 requests of one VM within a pause of 2.5 s (2 are allowed, half a second after it was asked for); it fails on the code before, as do a Retry-After that ends with the shortest pause and odd values. Change: the pause is kept with the other statements of the upstream, for this VM alone, and ends what Pool.seconds_until_allowed allows; other upstreams get the requests in their order, and where none may get one the refusal comes at once with the time to the end of the shortest pause. The longest pause counts: responses to concurrent requests may be read in another order than they were written. Dates, signs, zero, infinite and more than an hour are ignored, with a log line and a count.

--- a/src/pollenseam/statementwatch.py
+++ b/src/pollenseam/statementwatch.py
@@ -47,6 +47,8 @@
             return
         if head.is_leaving:
             self._record_leaving(upstream)
+        if head.pause:
+            self._record_pause(upstream, head.pause)
         if head.matches_request or head.is_not_run:
             self._record_rate(pool, upstream, head.stated_limit)
 
@@ -68,6 +70,33 @@
             source=source,
         )
 
+    def _record_pause(
+        self, upstream: upstreamstats.UpstreamStats, text: str
+    ) -> None:
+        record = upstream.record
+        now = self.now()
+        seconds = upstreamstatements.parse_pause(text)
+        if seconds is None:
+            self.counter.add("pause", "invalid")
+            self.log.emit_often("pause-invalid", upstream=record.id, text=text)
+            return
+        known = self.table.find(record.id, record.started_ms)
+        left_seconds = max(0.0, known.paused_until - now) if known else 0.0
+        if not self.table.record_pause(
+            record.id, record.started_ms, seconds, now
+        ):
+            self.counter.add("pause", "shorter")
+            return
+        self.counter.add("pause", "replaced" if left_seconds else "heard")
+        self.log.emit_often(
+            "stated-pause",
+            upstream=record.id,
+            service=record.service,
+            seconds=seconds,
+            replaced_seconds=left_seconds or None,
+            in_flight=upstream.in_flight,
+        )
+
     def _record_rate(
         self,
         pool: steering.Pool,
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -1,12 +1,17 @@
-"""Upstreams that say in responses that they leave."""
+"""Upstreams that say in responses that they leave, or ask for a pause."""
 
 import asyncio
 import time
 
 import machines
+import pytest
 
 # Time after which no VM sends to an upstream that has said that it leaves.
 DRAIN_SECONDS = 2.5
+# Time that a VM has to obey a request for a pause.
+PAUSE_GRACE_SECONDS = 0.5
+# Requests that may reach an upstream from one VM after that.
+MAX_IN_PAUSE = 2
 
 
 async def is_served_by(cluster, entry_index, server):
@@ -64,3 +69,97 @@
             leaving.started_at_ms = time.time_ns() // 1_000_000
             leaving.sequence = 0
             await cluster.wait_until(lambda: is_served_by(cluster, 1, leaving))
+
+
+async def test_an_upstream_gets_the_pause_that_it_asks_for(tmp_path):
+    """Guards against requests to an upstream that asked for a pause.
+
+    It asks each VM by itself, for a fraction of seconds. Meanwhile the other
+    upstream is not fast enough for all requests.
+    """
+    async with machines.running_cluster(tmp_path, entry_count=3) as cluster:
+        slow = await cluster.add_server("i-1")
+        busy = await cluster.add_server("i-2")
+        async with cluster.sending_heartbeats():
+            for entry_index in range(3):
+                await cluster.wait_until(
+                    lambda n=entry_index: is_served_by(cluster, n, busy)
+                )
+            slow.delay_seconds = 0.3
+            busy.status = 503
+            busy.reply_headers |= {"X-Not-Run": "1", "Retry-After": "2.5"}
+            busy.arrived_at.clear()
+            busy.arrived_paths.clear()
+            await send_evenly(cluster, seconds=8.0)
+    assert busy.arrived_at
+    for entry_index in range(3):
+        times = arrivals_from(busy, entry_index, len(cluster.entry_vms))
+        for answered_at in times:
+            in_pause = [
+                t
+                for t in times
+                if answered_at + PAUSE_GRACE_SECONDS < t < answered_at + 2.5
+            ]
+            assert len(in_pause) <= MAX_IN_PAUSE
+
+
+def arrivals_from(server, entry_index, entry_count):
+    """Returns when the requests of `send_evenly` arrived from one VM."""
+    return [
+        t
+        for t, path in zip(server.arrived_at, server.arrived_paths, strict=True)
+        if int(path.rpartition("/")[2]) % entry_count == entry_index
+    ]
+
+
+async def test_a_request_is_refused_until_the_shortest_pause_ends(tmp_path):
+    """Guards against callers that are told to wait longer than needed."""
+    async with machines.running_cluster(tmp_path) as cluster:
+        servers = [await cluster.add_server(f"i-{n}") for n in range(2)]
+        async with cluster.sending_heartbeats():
+            for server in servers:
+                await cluster.wait_until(
+                    lambda s=server: is_served_by(cluster, 0, s)
+                )
+            for server, pause in zip(servers, ("2.5", "20"), strict=True):
+                server.status = 503
+                server.reply_headers |= {"X-Not-Run": "1", "Retry-After": pause}
+            await cluster.wait_until(lambda: asks_to_wait(cluster))
+            for server in servers:
+                server.arrived_at.clear()
+            status, headers, _ = await cluster.request()
+            assert status == 503
+            assert 0 < float(headers["Retry-After"]) <= 2.5
+            assert not servers[0].arrived_at + servers[1].arrived_at
+
+
+async def asks_to_wait(cluster):
+    """Returns whether the last of some requests got a long Retry-After."""
+    for number in range(24):
+        _, headers, _ = await cluster.request(
+            headers={"Cookie": f"X-Affinity-Key={number}"}
+        )
+    return float(headers.get("Retry-After", "0")) > 1.0
+
+
+@pytest.mark.parametrize(
+    "text", ["-1", "0", "inf", "nan", "1e300", "Sat, 05 Dec 2026 08:00:00 GMT"]
+)
+async def test_a_pause_that_cannot_be_meant_is_ignored(tmp_path, text):
+    """Guards against an upstream that is lost for good by an odd value."""
+    async with machines.running_cluster(tmp_path) as cluster:
+        server = await cluster.add_server("i-1")
+        async with cluster.sending_heartbeats():
+            await cluster.wait_until(lambda: is_served_by(cluster, 0, server))
+            server.status = 503
+            server.reply_headers |= {"X-Not-Run": "1", "Retry-After": text}
+            assert (await cluster.request())[0] == 503
+            server.status = 200
+            server.reply_headers.clear()
+            await cluster.wait_until(lambda: has_status_200(cluster))
+        log = cluster.entry_vms[0].read_log()
+        assert "event=pause-invalid" in log
+
+
+async def has_status_200(cluster):
+    return (await cluster.request())[0] == 200
