--- a/src/pollenseam/explanation.py
+++ b/src/pollenseam/explanation.py
@@ -19,7 +19,17 @@
         "started",
     }
 )
-UPSTREAM_EVENTS = frozenset({"upstream", "upstreams-lost"})
+UPSTREAM_EVENTS = frozenset(
+    {
+        "upstream",
+        "upstreams-lost",
+        "stated-limit",
+        "stated-leaving",
+        "stated-pause",
+        "pause-ended",
+        "statement-cleared",
+    }
+)
 
 
 class Explanation:
@@ -124,6 +134,7 @@
         return False
     ids = event.fields.get("ids", "").split(",")
     ids.append(event.fields.get("id", ""))
+    ids.append(event.fields.get("upstream", ""))
     return not upstreams.isdisjoint(ids)
 
 
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -203,13 +203,19 @@
         Returns:
             The time in seconds, 0 for now; None if never, as far as is known.
         """
-        record = upstream.record
-        if self.statements.is_over(record.id, record.started_ms):
-            return None
-        stated = self.statements.find(record.id, record.started_ms)
-        pause_seconds = stated.paused_until - now if stated is not None else 0.0
-        upstream.pacer.set_rate(self.own_rate(upstream, now), now)
-        wait_seconds = upstream.pacer.wait_seconds(required.reserve_ratio, now)
+        pause_seconds = 0.0
+        if self.statements.records:
+            record = upstream.record
+            if self.statements.is_over(record.id, record.started_ms):
+                return None
+            stated = self.statements.find(record.id, record.started_ms)
+            if stated is not None:
+                pause_seconds = stated.paused_until - now
+        pacer = upstream.pacer
+        pacer.set_rate(self.own_rate(upstream, now), now)
+        if pacer.rate is None:
+            return max(0.0, pause_seconds)
+        wait_seconds = pacer.wait_seconds(required.reserve_ratio, now)
         if wait_seconds is None:
             return None
         return max(0.0, pause_seconds, wait_seconds)
@@ -234,7 +240,9 @@
     ) -> float | None:
         """Returns this VM's part of the rate; None if it is not limited."""
         record = upstream.record
-        stated = self.statements.in_force(record.id, record.started_ms)
+        stated = None
+        if self.statements.records:
+            stated = self.statements.in_force(record.id, record.started_ms)
         is_cold = upstream.cold_until > now and self.cold_rate > 0
         if stated is None and not is_cold:
             return None
