--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -136,3 +136,51 @@
         records = [u.record for u in pool.upstreams.values()]
         pool.update(records[1:], test_steering.REGIONS, 1.0)
     assert set(hashed) <= {"v0"}
+
+
+def test_all_that_an_upstream_states_holds_together():
+    """Guards against a pause, a rate or a cold start that hides another."""
+    [pool] = make_pools({"v1": "a"}, {"a1": 2}, {"a1-0": 2.0})
+    wanted = requirements.Requirements("r1", "7", (), ())
+    upstream = pool.upstreams["a1-0"]
+    stated = pool.statements
+
+    def wait(now):
+        return pool.seconds_until_allowed(upstream, wanted, now)
+
+    assert wait(0.0) == 0.0
+    upstream.pacer.take()
+    assert wait(0.0) == pytest.approx(0.5)
+    stated.record_pause("a1-0", 1, 0.2, 0.0)
+    assert wait(0.0) == pytest.approx(0.5)
+    stated.record_pause("a1-0", 1, 3.0, 0.0)
+    stated.record_pause("a1-0", 1, 1.0, 0.5)
+    assert wait(1.0) == pytest.approx(2.0)
+    assert wait(3.0) == 0.0
+    pool.set_cold_limit(0.5, pool.fleet.vms)
+    upstream.cold_until = 20.0
+    assert pool.own_rate(upstream, 3.0) == 0.5
+    stated.record_leaving("a1-0", 1, 4.0)
+    assert wait(4.0) is None
+    assert pool.seconds_until_admitted(wanted, 4.0) == 0.0
+
+
+def test_pauses_leave_what_is_left_to_the_higher_priority():
+    """Guards against low priorities that crowd out high ones in an overload.
+
+    All but one of the upstreams asked for a pause.
+    """
+    [pool] = make_pools({"v1": "a"}, {"a1": 6}, {})
+    for number in range(1, 6):
+        pool.statements.record_pause(f"a1-{number}", 1, 60.0, 0.0)
+    left = pool.upstreams["a1-0"]
+    accepted = {}
+    for target_seconds in (2.0, 0.6):
+        wanted = requirements.Requirements(
+            "r1", None, (), (), target_seconds=target_seconds
+        )
+        left.in_flight = 0
+        while pool.choose(wanted, 1.0).excess_wait_seconds <= 0:
+            left.in_flight += 1
+        accepted[target_seconds] = left.in_flight
+    assert accepted[2.0] > accepted[0.6] >= 3
