--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -9,6 +9,7 @@
 has it in its cache.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -18,7 +19,7 @@
 from pollenseam import rankings
 from pollenseam import registry
 from pollenseam import requirements
-from pollenseam import statedlimits
+from pollenseam import upstreamstatements
 from pollenseam import upstreamstats
 from pollenseam import workestimates
 
@@ -94,10 +95,12 @@
         cold_rate: Requests per second that a cold upstream accepts from all
             VMs together; 0 if there is no limit.
         fleet: Entry VMs that share the rates of upstreams.
-        stated_limits: Rates that upstreams state.
+        statements: What upstreams stated in their responses.
         work_estimates: Expected processing time by route.
         rankings: Rankings of the upstreams, by object.
         overflow_limit: Limits requests that leave their preferred region.
+        kept_away: Times that a request was kept away from an upstream, by what
+            the upstream stated: "leaving", "pause" or "rate".
     """
 
     __slots__ = (
@@ -106,10 +109,11 @@
         "failure_domain",
         "cold_rate",
         "fleet",
-        "stated_limits",
+        "statements",
         "work_estimates",
         "rankings",
         "overflow_limit",
+        "kept_away",
     )
 
     def __init__(
@@ -118,16 +122,17 @@
         region: str,
         failure_domain: str,
         work_estimates: workestimates.WorkEstimates,
-        stated_limits: statedlimits.Table | None = None,
+        statements: upstreamstatements.Table | None = None,
     ) -> None:
         self.upstreams: dict[str, upstreamstats.UpstreamStats] = {}
         self.fleet = pacing.Fleet(name, pacing.Vms({name: region}), {})
-        self.stated_limits = stated_limits or statedlimits.Table()
+        self.statements = statements or upstreamstatements.Table()
         self.region = region
         self.failure_domain = failure_domain
         self.cold_rate = 0.0
         self.work_estimates = work_estimates
         self.overflow_limit = overflow.OverflowLimit()
+        self.kept_away: collections.Counter[str] = collections.Counter()
         self.rankings = rankings.Rankings(region)
 
     def update(
@@ -182,26 +187,62 @@
         if vms is not fleet.vms or room_ratios != fleet.room_ratios:
             self.fleet = pacing.Fleet(fleet.name, vms, room_ratios)
 
-    def _admits(
+    def seconds_until_allowed(
         self,
         upstream: upstreamstats.UpstreamStats,
         required: requirements.Requirements,
         now: float,
-    ) -> bool:
-        """Returns whether this VM may send a request to an upstream now.
+    ) -> float | None:
+        """Returns when this VM may send a request to an upstream.
+
+        This is the one place that knows what an upstream stated: that it
+        leaves, a pause, a rate, or that it is cold. This VM's part of a limited
+        rate is computed here, when it is needed, because only a few of many
+        upstreams limit it at a time.
 
-        This VM's part of a limited rate is computed here, when it is needed,
-        because only a few of many upstreams limit it at a time.
+        Returns:
+            The time in seconds, 0 for now; None if never, as far as is known.
         """
-        upstream.pacer.set_rate(self.own_rate(upstream, now), now)
-        return upstream.pacer.admits(required.reserve_ratio, now)
+        pause_seconds = 0.0
+        if self.statements.records:
+            record = upstream.record
+            if self.statements.is_over(record.id, record.started_ms):
+                return None
+            stated = self.statements.find(record.id, record.started_ms)
+            if stated is not None:
+                pause_seconds = stated.paused_until - now
+        pacer = upstream.pacer
+        pacer.set_rate(self.own_rate(upstream, now), now)
+        if pacer.rate is None:
+            return max(0.0, pause_seconds)
+        wait_seconds = pacer.wait_seconds(required.reserve_ratio, now)
+        if wait_seconds is None:
+            return None
+        return max(0.0, pause_seconds, wait_seconds)
+
+    def _keep_away(
+        self, upstream: upstreamstats.UpstreamStats, now: float
+    ) -> None:
+        """Counts a request that must not be sent to an upstream now."""
+        record = upstream.record
+        stated = self.statements.find(record.id, record.started_ms)
+        reason = "rate"
+        if self.statements.is_over(record.id, record.started_ms):
+            reason = "leaving"
+        elif stated is not None and stated.paused_until > now:
+            reason = "pause"
+        if stated is not None:
+            stated.kept_away += 1
+        self.kept_away[reason] += 1
 
     def own_rate(
         self, upstream: upstreamstats.UpstreamStats, now: float
     ) -> float | None:
         """Returns this VM's part of the rate; None if it is not limited."""
         record = upstream.record
-        stated = self.stated_limits.in_force(record.id, record.started_ms)
+        stated = None
+        if self.statements.records:
+            stated = self.statements.in_force(record.id, record.started_ms)
         is_cold = upstream.cold_until > now and self.cold_rate > 0
         if stated is None and not is_cold:
             return None
@@ -223,7 +264,7 @@
         The result is None if none will, as far as this VM knows.
         """
         waits = [
-            upstream.pacer.wait_seconds(required.reserve_ratio, now)
+            self.seconds_until_allowed(upstream, required, now)
             for upstream in self.upstreams.values()
             if self._is_allowed(upstream, required)
         ]
@@ -259,7 +300,8 @@
         for rank, upstream in ranked:
             if not self._is_allowed(upstream, required):
                 continue
-            if not self._admits(upstream, required, now):
+            if self.seconds_until_allowed(upstream, required, now) != 0.0:
+                self._keep_away(upstream, now)
                 continue
             choice = self._evaluate(upstream, rank, required, now)
             penalty = costs.penalty_seconds(
