Control API: one check of what others write, before anything is kept of it

What callers saw: one odd entry of another writer harmed the others. A heartbeat with port 99999 (or -1) was taken (200) and stood among the upstreams; as soon as an entry VM reached no upstream of that service, its program ended (exit 70) and all its callers found the connection refused. An odd `born` at a good address kept the real upstream there from being used, though its heartbeats got 200. A value beyond 64 bits, 1e308 or 100,000 nested brackets got a 500 with a traceback. Cause: bodies were checked field by field while they were translated; numbers had no bounds, an address was any text, and the parser's depth was the stack that happened to be left. Entry program beside one good upstream that goes, before: exit 70 with OverflowError('connect(): port must be 0-65535.') from the probe of port 99999. Ruled out: NaN, Infinity, surrogates, booleans as numbers and 1e400 are refused by the parser; an odd `of` cannot reach the metrics as bytes that don't encode. A committed entry is applied without the check, so that replicas of two versions agree.

--- /dev/null
+++ b/src/pollenseam/bounds.py
@@ -0,0 +1,168 @@
+"""Bounds of what others may write: JSON bodies, numbers, text, addresses.
+
+Whatever a body is about, its values pass these checks before anything is kept
+of it. The bounds are wide: nothing that a writer could mean is outside them.
+Inside them arithmetic cannot overflow, and what was accepted can be encoded in
+every message, log entry and snapshot.
+"""
+
+import ipaddress
+import re
+from typing import TypeVar
+
+import msgspec
+
+from pollenseam import errors
+
+# Levels of arrays and objects in a JSON body.
+MAX_DEPTH = 64
+MAX_INTEGER = 2**63 - 1
+MAX_FLOAT = 1e15
+# Of a number without a sign in decimal digits.
+MAX_INTEGER_DIGITS = 19
+MAX_TEXT_CHARACTERS = 4096
+MAX_PORT = 65_535
+SHOWN_CHARACTERS = 80
+
+_T = TypeVar("_T")
+
+_JSON_ESCAPE = re.compile(rb"\\.", re.DOTALL)
+_NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+
+
+def decode_json(body: bytes, type_: type[_T]) -> _T:
+    """Returns a JSON body, decoded to a type.
+
+    Raises:
+        RefusedError: The body is not JSON, has more than MAX_DEPTH levels, or
+            does not match the type.
+    """
+    if _is_too_deep(body):
+        raise _malformed(f"the body has more than {MAX_DEPTH} levels")
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise _malformed(f"the body cannot be used: {error}") from error
+
+
+def _is_too_deep(body: bytes) -> bool:
+    """Returns whether arrays and objects are nested beyond MAX_DEPTH.
+
+    A parser that meets them needs the stack of its caller, whose size nobody
+    knows; so the brackets outside of strings are counted first.
+    """
+    if body.count(b"[") + body.count(b"{") <= MAX_DEPTH:
+        return False
+    if b"\\" in body:
+        body = _JSON_ESCAPE.sub(b"", body)
+    outside_strings = b"".join(body.split(b'"')[::2])
+    depth = 0
+    for bracket in outside_strings.translate(None, _NOT_BRACKETS):
+        depth += 1 if bracket in b"[{" else -1
+        if depth > MAX_DEPTH:
+            return True
+    return False
+
+
+def check(name: str, value: object) -> None:
+    """Checks all numbers and texts in a value.
+
+    Args:
+        name: What the value is, for the message.
+        value: A number, a text, or a struct or collection of values.
+
+    Raises:
+        RefusedError: A number or text is out of bounds.
+    """
+    if isinstance(value, msgspec.Struct):
+        for field in value.__struct_fields__:
+            check(f"{name}.{field}", getattr(value, field))
+    elif isinstance(value, list | tuple):
+        for element in value:
+            check(name, element)
+    elif isinstance(value, dict):
+        for key, element in value.items():
+            check(f"a key of {name}", key)
+            check(name, element)
+    elif isinstance(value, int):
+        check_number(name, value, -MAX_INTEGER, MAX_INTEGER)
+    elif isinstance(value, float):
+        check_number(name, value, -MAX_FLOAT, MAX_FLOAT)
+    elif isinstance(value, str):
+        check_text(name, value)
+
+
+def check_number(
+    name: str, value: float, low: float, high: float = MAX_INTEGER
+) -> None:
+    """Checks that a number is from `low` to `high`.
+
+    Raises:
+        RefusedError: It is not, or it is not a number.
+    """
+    if not low <= value <= high:
+        raise _malformed(f"{name} is {_shown(value)}, not {low:g} to {high:g}")
+
+
+def check_text(
+    name: str, value: str, max_characters: int = MAX_TEXT_CHARACTERS
+) -> None:
+    """Checks the length of a text, and that it fits in a line.
+
+    Raises:
+        RefusedError: The text is too long or has a control character.
+    """
+    if len(value) > max_characters:
+        raise _malformed(
+            f"{name} has {len(value)} characters, above {max_characters}"
+        )
+    if _CONTROL_CHARACTER.search(value):
+        raise _malformed(f"{name} {_shown(value)} has a control character")
+
+
+def check_name(name: str, value: str) -> None:
+    """Checks a name of a record.
+
+    Raises:
+        RefusedError: The name is empty, too long or has a control character.
+    """
+    if not value:
+        raise _malformed(f"{name} is empty")
+    check_text(name, value)
+
+
+def check_address(name: str, value: str) -> None:
+    """Checks that a text is the IPv4 address and port of one host.
+
+    Raises:
+        RefusedError: It is not IP:PORT, or no host can have the address.
+    """
+    host, _, port = value.rpartition(":")
+    try:
+        ip = ipaddress.IPv4Address(host)
+        is_valid = port == str(int(port)) and 0 < int(port) <= MAX_PORT
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise _malformed(f"{name} {_shown(value)} is not IP:PORT")
+    if ip.is_multicast or ip.is_unspecified or ip.is_reserved:
+        raise _malformed(f"{name} {_shown(value)} is the address of no host")
+
+
+def milliseconds(name: str, seconds: float) -> int:
+    """Returns a time in milliseconds, without the rest.
+
+    Raises:
+        RefusedError: The time is out of bounds.
+    """
+    check_number(name, seconds, -MAX_FLOAT / 1000, MAX_FLOAT / 1000)
+    return int(seconds * 1000)
+
+
+def _shown(value: object) -> str:
+    return repr(value)[:SHOWN_CHARACTERS]
+
+
+def _malformed(detail: str) -> errors.RefusedError:
+    return errors.refuse(errors.Kind.MALFORMED, detail)
--- a/src/pollenseam/commands.py
+++ b/src/pollenseam/commands.py
@@ -1,5 +1,6 @@
 """The commands that the quorum log carries to the state machine."""
 
+import functools
 import hashlib
 
 import msgspec
@@ -7,6 +8,7 @@
 from pollenseam import items
 from pollenseam import registry
 from pollenseam import settings
+from pollenseam import validity
 
 
 class Command(msgspec.Struct, tag=True, array_like=True):
@@ -230,6 +232,37 @@
     return _decoder.decode(data)
 
 
+@functools.singledispatch
+def check(command: object) -> None:
+    """Checks that a command from outside may be proposed.
+
+    Committed commands are applied without this check: all replicas must apply
+    an entry in the same way, also one that an earlier version has accepted.
+
+    Raises:
+        RefusedError: A value of the command is out of bounds.
+    """
+
+
+@check.register
+def _(command: PatchItems) -> None:
+    for item in command.changed_items:
+        validity.check(item)
+
+
+@check.register
+def _(command: SetEvacuation) -> None:
+    validity.check(
+        registry.Evacuation(command.failure_domain, command.is_evacuated)
+    )
+
+
+@check.register
+def _(command: RecordUpstreams) -> None:
+    for record in command.records:
+        validity.check(record)
+
+
 def body_digest(change: Change) -> str:
     """Returns the digest of a change, whichever operator makes the change.
 
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -31,6 +31,7 @@
 from pollenseam import registrysync
 from pollenseam import replicarunner
 from pollenseam import tasks
+from pollenseam import validity
 from pollenseam import vm
 
 # Interval of the leader's periodic duties.
@@ -477,6 +478,8 @@
                 MAX_PATCH_TRANSFER_BYTES.
             UnreachableError: The outcome is not known by `deadline`.
         """
+        command = commands.PatchItems(patch)
+        commands.check(command)
         size = registry.encoded_size(patch)
         if size > MAX_PATCH_TRANSFER_BYTES:
             raise errors.refuse(
@@ -484,9 +487,7 @@
                 f"the patch has {size} bytes compressed, above the limit of "
                 f"{MAX_PATCH_TRANSFER_BYTES}; send it in parts",
             )
-        outcome = await self.proposer.submit(
-            commands.PatchItems(patch), deadline
-        )
+        outcome = await self.proposer.submit(command, deadline)
         if outcome.kind:
             raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
         return outcome.index
@@ -497,9 +498,11 @@
         """Starts or ends the evacuation of a failure domain.
 
         Raises:
+            RefusedError: The failure domain's name is out of bounds.
             UnreachableError: The outcome is not known by `deadline`.
         """
         command = commands.SetEvacuation(failure_domain, is_on)
+        commands.check(command)
         await self.proposer.submit(command, deadline)
 
     async def announce(
@@ -512,14 +515,15 @@
         the leader.
 
         Raises:
+            RefusedError: A value of the record is out of bounds.
             UnreachableError: The announcement could not be recorded by
                 `deadline`, or it is a heartbeat and the leader is
                 unreachable.
         """
+        command = commands.RecordUpstreams([record])
+        commands.check(command)
         if self.applied_registry.is_update(record):
-            await self.proposer.submit(
-                commands.RecordUpstreams([record]), deadline
-            )
+            await self.proposer.submit(command, deadline)
             self.log.emit(
                 "upstream",
                 id=record.id,
@@ -544,8 +548,10 @@
             deadline: Time by which the record must be committed.
 
         Raises:
+            RefusedError: The id or the start is out of bounds.
             UnreachableError: The stop could not be recorded by `deadline`.
         """
+        validity.check(registry.ended_record(id, started_ms))
         known = self.applied_registry.upstreams.get(id)
         if known is None or not started_ms:
             # This replica may not have applied the latest start yet.
--- a/src/pollenseam/registry.py
+++ b/src/pollenseam/registry.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import items
 
 # Encoded size above which a page is complete. A page takes 0.13 s on a link of
@@ -392,10 +393,15 @@
             known,
             started_ms=started_ms or known.started_ms,
             state=STOPPED,
-            sequence=known.sequence + 1,
+            sequence=min(known.sequence + 1, bounds.MAX_INTEGER),
         )
     if not started_ms:
         return None
+    return ended_record(id, started_ms)
+
+
+def ended_record(id: str, started_ms: int) -> Upstream:
+    """Returns the record of a stopped upstream of which no more is known."""
     return Upstream(id, started_ms, 0, "", "", "", 0, STOPPED)
 
 
