Control VM: the leader checks commands that other VMs submit

What callers saw: during an upgrade, a control VM of the version before still takes odd entries; the new leader would have written them to the log. Cause: only the VM that a writer calls checked; the leader proposed whatever it could decode, and what it could not ended the call with a traceback. Change: `commands.decode_proposal` decodes and checks; what fails is answered with the outcome `malformed`, which the submitting VM knows, and a log line. Test: test_the_leader_refuses_odd_commands_of_other_vms; before, the first odd record was committed (outcome '').

--- a/src/pollenseam/commands.py
+++ b/src/pollenseam/commands.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pollenseam import errors
 from pollenseam import items
 from pollenseam import registry
 from pollenseam import settings
@@ -232,6 +233,21 @@
     return _decoder.decode(data)
 
 
+def decode_proposal(data: bytes) -> AnyCommand:
+    """Returns a command that another VM submits.
+
+    Raises:
+        RefusedError: `data` is not an encoded command, or a value of the
+            command is out of bounds.
+    """
+    try:
+        command = decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.refuse(errors.Kind.MALFORMED, str(error)) from error
+    check(command)
+    return command
+
+
 @functools.singledispatch
 def check(command: object) -> None:
     """Checks that a command from outside may be proposed.
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -592,7 +592,13 @@
         runner = self.replica_runner
         kind = errors.Kind.NO_QUORUM
         try:
-            command = commands.decode(request.command)
+            command = commands.decode_proposal(request.command)
+        except errors.RefusedError as error:
+            refusal = error.refusal
+            self.log.emit("command-refused", reason=refusal.detail)
+            outcome = commands.Outcome(refusal.kind, refusal.detail)
+            return messages.SubmitResponse(messages.encode(outcome), "", "", 0)
+        try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 outcome = await runner.submit(command)
         except (errors.NotLeaderError, TimeoutError):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,9 +6,15 @@
 import controls
 import hypothesis
 import machines
+import msgspec
 import pytest
 from hypothesis import strategies
 
+from pollenseam import commands
+from pollenseam import errors
+from pollenseam import items
+from pollenseam import messages
+from pollenseam import registry
 from pollenseam import registrysync
 from pollenseam import state
 from pollenseam import validity
@@ -268,3 +274,39 @@
     programs = [*cluster.control_vms, *cluster.entry_vms]
     assert [machine.process.returncode for machine in programs] == [None] * 4
     assert not [m.name for m in programs if "Traceback" in m.read_log()]
+
+
+def odd_upstream(id="odd", **changes):
+    """Returns a record that an earlier version accepted."""
+    values = {"address": "127.0.0.1:99999", "service": "s1", "slots": 3}
+    values |= changes
+    return registry.Upstream(
+        id,
+        5,
+        2**64 - 1,
+        values["service"],
+        values["address"],
+        "z1",
+        values["slots"],
+        registry.SERVING,
+    )
+
+
+async def test_the_leader_refuses_odd_commands_of_other_vms(tmp_path):
+    """Guards against entries that a VM of an earlier version passes on."""
+    odd_item = items.Item(items.ROUTE, "r", 2**64 - 1, None)
+    async with controls.running(tmp_path) as control:
+        for data in (
+            commands.encode(commands.RecordUpstreams([odd_upstream()])),
+            commands.encode(commands.PatchItems([odd_item])),
+            commands.encode(commands.SetEvacuation("", True)),
+            b"\x93\xa9upstreams" + b"\x91" * 100_000,
+            b"odd",
+        ):
+            request = messages.Submit(data, 0, 0)
+            response = await control.vm._answer_submit(request)
+            outcome = msgspec.msgpack.decode(
+                response.outcome, type=commands.Outcome
+            )
+            assert outcome.kind == errors.Kind.MALFORMED and outcome.detail
+        assert control.vm.applied_registry.index == 0
