Registry: an odd record of an earlier version reaches no entry VM

After an upgrade an odd upstream still stood in the pools, and a record with a text of 2 MB made a page that a link of 2 Mbit/s carries in 8 s, longer than a call lasts: such a VM would follow no further. Cause: entry VMs stored whatever a page held. Change: receivers leave out upstreams that `validity` calls unusable, with the record that they had of them before, and log why; an upstream's record above 64 KiB is sent as one that has ended. An odd record ends by itself: it has no heartbeats. Items are left as they are: they were acknowledged.

--- a/src/pollenseam/bounds.py
+++ b/src/pollenseam/bounds.py
@@ -6,7 +6,6 @@
 every message, log entry and snapshot.
 """
 
-import ipaddress
 import re
 from typing import TypeVar
 
@@ -28,6 +27,12 @@
 
 _JSON_ESCAPE = re.compile(rb"\\.", re.DOTALL)
 _NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
+_OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+# Without 0.0.0.0/8 (this network), multicast and reserved addresses.
+_HOST_OCTET = "(?:22[0-3]|2[01][0-9]|1[0-9][0-9]|[1-9][0-9]?)"
+_ADDRESS = re.compile(
+    rf"{_HOST_OCTET}\.{_OCTET}\.{_OCTET}\.{_OCTET}:(?P<port>[1-9][0-9]{{0,4}})"
+)
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
 
 
@@ -136,18 +141,11 @@
     """Checks that a text is the IPv4 address and port of one host.
 
     Raises:
-        RefusedError: It is not IP:PORT, or no host can have the address.
+        RefusedError: It is not, or no single host can have the address.
     """
-    host, _, port = value.rpartition(":")
-    try:
-        ip = ipaddress.IPv4Address(host)
-        is_valid = port == str(int(port)) and 0 < int(port) <= MAX_PORT
-    except ValueError:
-        is_valid = False
-    if not is_valid:
-        raise _malformed(f"{name} {_shown(value)} is not IP:PORT")
-    if ip.is_multicast or ip.is_unspecified or ip.is_reserved:
-        raise _malformed(f"{name} {_shown(value)} is the address of no host")
+    match = _ADDRESS.fullmatch(value)
+    if match is None or int(match["port"]) > MAX_PORT:
+        raise _malformed(f"{name} {_shown(value)} is not IP:PORT of a host")
 
 
 def milliseconds(name: str, seconds: float) -> int:
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -281,6 +281,12 @@
 
     def _on_applied(self) -> None:
         if self.applied_registry.index != self._index:
+            for record in self.applied_registry.upstreams_after(self._index):
+                why = validity.why_unusable(record)
+                if why:
+                    self.log.emit_often(
+                        "upstream-unusable", id=record.id, reason=why
+                    )
             self._index = self.applied_registry.index
             changed = self.changed
             self.changed = asyncio.Event()
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -373,6 +373,8 @@
 
     def _apply_update(self, update: registrysync.Update) -> None:
         started_at = self.now()
+        for id, why in update.unusable.items():
+            self.log.emit_often("upstream-unusable", id=id, reason=why)
         if update.is_whole or update.has_items:
             self._rebuild_table()
         self._rebuild_pools()
--- a/src/pollenseam/registry.py
+++ b/src/pollenseam/registry.py
@@ -19,6 +19,8 @@
 # Records of stopped and expired upstreams are kept for this time, so that a
 # delayed announcement does not add the upstream again.
 ENDED_RETENTION_MS = 120_000
+# Encoded size above which the record of an upstream is not sent.
+MAX_UPSTREAM_BYTES = 64 * 1024
 
 SERVING = "serving"
 LEAVING = "leaving"
@@ -302,6 +304,16 @@
         else:
             self.evacuated.discard(record.failure_domain)
 
+    def discard_upstream(self, id: str) -> None:
+        """Removes the record of an upstream, if there is one."""
+        self.upstreams.pop(id, None)
+
+    def upstreams_after(self, index: int) -> Iterator[Upstream]:
+        """Yields the upstreams that changed after an index of the log."""
+        for position in self._positions_after(Position(index + 1)):
+            if position.kind == UPSTREAM:
+                yield self.upstreams[position.name]
+
     def page_after(self, after: Position) -> Page:
         """Returns the records that follow a position, up to PAGE_BYTES."""
         page = Page(after == Position(), True, after, [], [], [])
@@ -357,11 +369,17 @@
         # Only control VMs need the document: operators read it there.
         record = msgspec.structs.replace(record, document=b"")
         page.changed_items.append(record)
-    elif isinstance(record, Upstream):
+        return len(_encode(record))
+    size = len(_encode(record))
+    if isinstance(record, Evacuation):
+        page.evacuations.append(record)
+    elif size <= MAX_UPSTREAM_BYTES:
         page.upstreams.append(record)
     else:
-        page.evacuations.append(record)
-    return len(_encode(record))
+        # Of an earlier version; nobody can use it, and links are slow.
+        record = ended_record(record.id, record.started_ms)
+        page.upstreams.append(record)
+    return size
 
 
 def encoded_size(changed_items: list[items.Item]) -> int:
--- a/src/pollenseam/registrysync.py
+++ b/src/pollenseam/registrysync.py
@@ -3,9 +3,13 @@
 A transfer continues at the position where it stopped, from any control VM: a
 call that fails costs one page. The copy changes only when the last page of a
 transfer has arrived, so callers never see a part of a change.
+
+A log may have unusable upstreams that an earlier version accepted. All replicas
+keep them, so that they agree; receivers leave them out.
 """
 
 from pollenseam import registry
+from pollenseam import validity
 
 
 class Update:
@@ -16,17 +20,24 @@
         pages: Number of pages.
         records: Number of records.
         has_items: Whether items are among the records.
+        unusable: Why upstreams that were left out cannot be used, by id.
     """
 
-    __slots__ = ("is_whole", "pages", "records", "has_items")
+    __slots__ = ("is_whole", "pages", "records", "has_items", "unusable")
 
     def __init__(
-        self, is_whole: bool, pages: int, records: int, has_items: bool
+        self,
+        is_whole: bool,
+        pages: int,
+        records: int,
+        has_items: bool,
+        unusable: dict[str, str],
     ) -> None:
         self.is_whole = is_whole
         self.pages = pages
         self.records = records
         self.has_items = has_items
+        self.unusable = unusable
 
 
 class Receiver:
@@ -87,13 +98,24 @@
         if is_whole:
             self.registry = registry.Registry()
         count = 0
+        unusable: dict[str, str] = {}
         for page in self.pages:
             for record in page.records():
-                self.registry.store(record)
+                self._store(record, unusable)
                 count += 1
         self.registry.index = max(self.registry.index, self.position.index)
         has_items = any(page.changed_items for page in self.pages)
-        return Update(is_whole, len(self.pages), count, has_items)
+        return Update(is_whole, len(self.pages), count, has_items, unusable)
+
+    def _store(self, record: registry.Record, unusable: dict[str, str]) -> None:
+        """Stores a record, or adds it to the unusable upstreams."""
+        if isinstance(record, registry.Upstream):
+            why = validity.why_unusable(record)
+            if why:
+                unusable[record.id] = why
+                self.registry.discard_upstream(record.id)
+                return
+        self.registry.store(record)
 
 
 def next_page(
--- a/tests/controls.py
+++ b/tests/controls.py
@@ -21,7 +21,8 @@
     def __init__(self, folder):
         self.address = f"127.0.0.1:{fleet.free_port()}"
         self.port = fleet.free_port()
-        log = events.open_log("c1", stream=io.StringIO())
+        self.output = io.StringIO()
+        log = events.open_log("c1", stream=self.output)
         settings = controlvm.Settings(
             "c1",
             "r1",
@@ -55,6 +56,10 @@
         writer.close()
         return int(head.split()[1]), answer
 
+    def lines(self, event):
+        """Returns how many lines of an event the log has."""
+        return self.output.getvalue().count(f"event={event} ")
+
     async def call_until_decided(self, call, of, body, attempts=5):
         """Calls again as long as the answer is 503, as callers do."""
         status, answer = await self.call(call, of, body)
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -1,5 +1,7 @@
 """Bounds of what others write: depth of JSON, numbers, text, addresses."""
 
+import contextlib
+import ipaddress
 import json
 import math
 
@@ -50,3 +52,24 @@
     assert caught.value.refusal.kind == errors.Kind.MALFORMED
     assert len(caught.value.refusal.detail) < 300
     bounds.check("what", {"a": [("b", 2**63 - 1, 1e15, None, True, "é")]})
+
+
+@hypothesis.given(
+    strategies.ip_addresses(v=4)
+    | strategies.sampled_from(["0.0.0.0", "223.255.255.255", "224.0.0.0"]).map(
+        ipaddress.IPv4Address
+    ),
+    strategies.integers(-1, 70_000),
+)
+def test_an_address_is_that_of_one_host_and_port(ip, port):
+    address = f"{ip}:{port}"
+    is_valid = 1 <= ip.packed[0] < 224 and 0 < port < 65_536
+    with (
+        contextlib.nullcontext()
+        if is_valid
+        else pytest.raises(errors.RefusedError)
+    ):
+        bounds.check_address("address", address)
+    for odd in (f"x{address}", f"{address}0000", f"{ip}", f"{ip}:0{port}"):
+        with pytest.raises(errors.RefusedError):
+            bounds.check_address("address", odd)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,19 +1,29 @@
 """Odd entries of other writers: refused with a reason, and harm no other."""
 
 import asyncio
+import io
 import json
 
 import controls
+import entries
+import gateway
 import hypothesis
 import machines
 import msgspec
 import pytest
+import test_items
+import test_registry
+import test_registrysync
 from hypothesis import strategies
 
 from pollenseam import commands
+from pollenseam import controlmessages
+from pollenseam import entryvm
 from pollenseam import errors
+from pollenseam import events
 from pollenseam import items
 from pollenseam import messages
+from pollenseam import peers
 from pollenseam import registry
 from pollenseam import registrysync
 from pollenseam import state
@@ -276,28 +286,13 @@
     assert not [m.name for m in programs if "Traceback" in m.read_log()]
 
 
-def odd_upstream(id="odd", **changes):
-    """Returns a record that an earlier version accepted."""
-    values = {"address": "127.0.0.1:99999", "service": "s1", "slots": 3}
-    values |= changes
-    return registry.Upstream(
-        id,
-        5,
-        2**64 - 1,
-        values["service"],
-        values["address"],
-        "z1",
-        values["slots"],
-        registry.SERVING,
-    )
-
-
 async def test_the_leader_refuses_odd_commands_of_other_vms(tmp_path):
     """Guards against entries that a VM of an earlier version passes on."""
+    odd = test_registrysync.odd_upstreams()
     odd_item = items.Item(items.ROUTE, "r", 2**64 - 1, None)
     async with controls.running(tmp_path) as control:
         for data in (
-            commands.encode(commands.RecordUpstreams([odd_upstream()])),
+            commands.encode(commands.RecordUpstreams(odd[:1])),
             commands.encode(commands.PatchItems([odd_item])),
             commands.encode(commands.SetEvacuation("", True)),
             b"\x93\xa9upstreams" + b"\x91" * 100_000,
@@ -310,3 +305,54 @@
             )
             assert outcome.kind == errors.Kind.MALFORMED and outcome.detail
         assert control.vm.applied_registry.index == 0
+
+
+async def test_odd_records_in_log_and_snapshot_stop_no_control_vm(tmp_path):
+    """Guards against stored records of an earlier version.
+
+    The control VM starts from the log that has them, then from a snapshot.
+    """
+    odd = test_registrysync.odd_upstreams()
+    patch = json.dumps(machines.initial_patch(1))
+    beat = json.dumps(heartbeat())
+    stored = None
+    for _ in range(3):
+        async with controls.running(tmp_path) as control:
+            assert (await control.call("config.patch", "", patch))[0] == 200
+            runner = control.vm.replica_runner
+            if stored is None:
+                # As a leader of an earlier version would have proposed it.
+                await runner.submit(commands.RecordUpstreams(odd))
+                stored = runner.state.registry.snapshot()
+            assert runner.state.registry.snapshot().upstreams == (
+                stored.upstreams
+            )
+            assert control.lines("upstream-unusable") >= len(odd)
+            assert (await control.call("instances.beat", "i-1", beat))[0] == 200
+            assert (await control.call("config.get"))[0] == 200
+            stored = runner.state.registry.snapshot()
+            await runner.snapshot()
+    async with controls.running(tmp_path) as control:
+        assert (await control.call("instances.leave", "sequence"))[0] == 200
+
+
+async def test_an_entry_vm_sends_nothing_to_odd_upstreams():
+    """Guards against odd records of an earlier version in an entry VM."""
+    output = io.StringIO()
+    log = events.open_log("e1", stream=output)
+    entry_vm = entryvm.EntryVm(
+        entries.entry_settings("127.0.0.1:1"),
+        log,
+        peers.Client(log.clock),
+        gateway.PlatformProtocol(),
+    )
+    odd = test_registrysync.odd_upstreams()
+    records = [test_registry.upstream("good"), *odd]
+    page = registry.Page(
+        True, True, registry.Position(1), [test_items.service()], records, []
+    )
+    response = controlmessages.WatchResponse(1, 0, "", page=page)
+    entry_vm._handle_response(response, entry_vm.now())
+    assert entry_vm.pools["s1"].upstreams.keys() == {"good"}
+    assert output.getvalue().count("event=upstream-unusable ") == len(odd)
+    await entry_vm.dispatcher.close()
--- a/tests/test_registrysync.py
+++ b/tests/test_registrysync.py
@@ -4,6 +4,7 @@
 import random
 
 import hypothesis
+import msgspec
 import pytest
 import test_items
 import test_registry
@@ -244,3 +245,64 @@
     transfer(receiver, restored)
     assert content(receiver.registry) == content(source)
     assert receiver.registry.index == 4
+
+
+ODD_UPSTREAMS = {
+    "port": {"address": "127.0.0.1:99999"},
+    "host": {"address": "localhost:80"},
+    "slots": {"slots": 2**63},
+    "start": {"started_ms": 2**64 - 1},
+    "sequence": {"sequence": 2**64 - 1},
+    "long": {"service": "s" * 2_000_000},
+    "line": {"id": "a\r\nb"},
+}
+
+
+def odd_upstreams():
+    """Returns records that an earlier version accepted."""
+    return [
+        msgspec.structs.replace(
+            test_registry.upstream(name, address=f"10.0.1.{n}:80"), **changes
+        )
+        for n, (name, changes) in enumerate(ODD_UPSTREAMS.items())
+    ]
+
+
+def test_odd_records_of_an_earlier_version_reach_no_entry_vm():
+    """Guards against one odd record that stops a VM from following the rest.
+
+    The longest one takes 8 s on a link of 2 Mbit/s, longer than a call lasts.
+    """
+    source = registry.Registry()
+    source.patch(1, [test_items.service()])
+    source.record_upstreams(2, 0, [test_registry.upstream("good")])
+    before = test_registry.upstream("port", address="10.0.0.2:80")
+    source.record_upstreams(3, 0, [before])
+    receiver = registrysync.Receiver()
+    transfer(receiver, source)
+    assert receiver.registry.upstreams.keys() == {"good", "port"}
+    for n, record in enumerate(odd_upstreams()):
+        record.sequence = max(2, record.sequence)
+        source.record_upstreams(4 + n, 0, [record])
+    source.patch(20, [test_items.route()])
+    page = registrysync.next_page(
+        source, receiver.base_index, receiver.position
+    )
+    assert len(msgspec.msgpack.encode(page)) < registry.PAGE_BYTES
+    transfer(receiver, source)
+    serving = content(receiver.registry)[1]
+    assert serving.keys() == {"good"}
+    assert receiver.registry.items.keys() == source.items.keys()
+
+
+def test_an_entry_vm_leaves_out_odd_records_of_an_earlier_control_vm():
+    source = registry.Registry()
+    odd = odd_upstreams()
+    records = [test_registry.upstream("good"), *odd]
+    source.patch(1, [test_items.service()])
+    page = registry.Page(True, True, registry.Position(1), [], records, [])
+    receiver = registrysync.Receiver()
+    update = receiver.receive(page, 1)
+    assert receiver.registry.upstreams.keys() == {"good"}
+    assert update.unusable.keys() == {record.id for record in odd}
+    assert all(update.unusable.values())
