State machine: no stored value ends the replicas

What callers saw: an operator's token issued with a digest that isn't ASCII was committed; at the operator's next change the process ended, and at every start again, on every replica, as all apply the same entries (trial on one daemon in the test's loop: the process was gone at the next change). A key stored so answered 500 to whoever sent its id. Change: digests are compared as bytes; a claim ends at 2**63 - 1 ms at the latest. Outcomes of all commands that did not raise are unchanged, so replicas of both versions agree.

--- a/src/pollenseam/claims.py
+++ b/src/pollenseam/claims.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import commands
 from pollenseam import errors
 
@@ -68,11 +69,13 @@
         if self.counts[command.workspace] >= MAX_CLAIMS_PER_WORKSPACE:
             detail = "the workspace has reached the limit of stored claims"
             return commands.Outcome(errors.Kind.NO_ROOM, detail)
+        expires_at_ms = clock_ms + max(retention_ms, 2 * command.timeout_ms)
+        # Earlier versions stored retentions that end beyond 64 bits.
         self.claims[name] = Claim(
             command.body_digest,
             command.attempt,
-            clock_ms + command.timeout_ms,
-            clock_ms + max(retention_ms, 2 * command.timeout_ms),
+            min(clock_ms + command.timeout_ms, bounds.MAX_INTEGER),
+            min(expires_at_ms, bounds.MAX_INTEGER),
         )
         self.counts[command.workspace] += 1
         return commands.Outcome(granted=True)
--- a/src/pollenseam/keys.py
+++ b/src/pollenseam/keys.py
@@ -53,7 +53,15 @@
 
 def matches(text: str, expected: str) -> bool:
     """Returns whether a secret has a digest; compares in constant time."""
-    return hmac.compare_digest(digest(text), expected)
+    return are_equal(digest(text), expected)
+
+
+def are_equal(one: str, other: str) -> bool:
+    """Returns whether two digests are equal, in constant time.
+
+    `hmac.compare_digest` raises for texts that are not ASCII.
+    """
+    return hmac.compare_digest(one.encode(), other.encode())
 
 
 def parse_bearer(authorization: str | None) -> str | None:
--- a/src/pollenseam/state.py
+++ b/src/pollenseam/state.py
@@ -6,13 +6,13 @@
 
 import collections
 import functools
-import hmac
 
 import msgspec
 
 from pollenseam import claims
 from pollenseam import commands
 from pollenseam import errors
+from pollenseam import keys
 from pollenseam import registry
 from pollenseam import settings
 from pollenseam import tree
@@ -118,7 +118,7 @@
         """Returns the operator whose token has this digest, or None."""
         found = None
         for node in self.tree.nodes.values():
-            if isinstance(node, settings.Operator) and hmac.compare_digest(
+            if isinstance(node, settings.Operator) and keys.are_equal(
                 node.digest, token_digest
             ):
                 found = node
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,9 +1,13 @@
 """Tests of the state machine: versions, resends, permissions, snapshots."""
 
+import hypothesis
 import pytest
+import test_registry
+from hypothesis import strategies
 
 from pollenseam import commands
 from pollenseam import errors
+from pollenseam import items
 from pollenseam import keys
 from pollenseam import settings
 from pollenseam import state
@@ -190,3 +194,81 @@
     assert not copy.apply_deltas([], 49)
     assert not copy.replace_with(tree.from_nodes({}, 49, 49))
     assert copy.index == 50
+
+
+texts = strategies.text(max_size=6) | strategies.sampled_from([TEAM, "root"])
+integers = strategies.integers(0, 2**64 - 1) | strategies.just(2**64 - 1)
+paths = strategies.sampled_from(["/operators/", "/teams/t/workspaces/w/keys/"])
+odd_commands = strategies.one_of(
+    strategies.builds(
+        lambda id, path, name, digest: commands.PutNode(
+            id, ROOT, path + name, settings.Operator(digest, "/")
+        ),
+        *[texts, paths, texts, texts],
+    ),
+    strategies.builds(
+        lambda id, count: commands.ApplySettings(
+            id, ROOT, "/fleet", {"/fleet": fleet_with(max(count, 60_000))}, None
+        ),
+        *[texts, integers],
+    ),
+    strategies.builds(
+        lambda count, **fields: commands.RecordUpstreams(
+            [test_registry.upstream(sequence=count, **fields)]
+        ),
+        integers,
+        id=texts,
+        started_ms=integers,
+        state=texts,
+        address=texts,
+        cold_ms=integers,
+    ),
+    strategies.builds(
+        lambda kind, name, count: commands.PatchItems(
+            [items.Item(kind, name, count, None)]
+        ),
+        *[texts, texts, integers],
+    ),
+    strategies.builds(commands.OpenClaim, *[texts] * 4, integers),
+    strategies.builds(commands.Withdraw, texts, texts, texts, texts),
+    strategies.builds(commands.SetShift, texts, texts, texts, texts),
+    strategies.builds(commands.SetEvacuation, texts, strategies.booleans()),
+)
+
+
+def fleet_with(retention_ms):
+    fleet = settings.Fleet()
+    fleet.claim_retention_ms = retention_ms
+    return fleet
+
+
+@hypothesis.given(strategies.lists(odd_commands, max_size=8))
+@hypothesis.example(
+    [
+        commands.PutNode(
+            "a", ROOT, "/operators/a", settings.Operator("\xe9", "/")
+        ),
+        commands.Withdraw("b", TEAM, "keys", "k"),
+    ]
+)
+@hypothesis.example(
+    [
+        commands.ApplySettings(
+            "a", ROOT, "/fleet", {"/fleet": fleet_with(2**64 - 1)}, None
+        ),
+        commands.OpenClaim("w", "k", "d", "a", 1000),
+    ]
+)
+def test_no_stored_command_ends_a_replica(log):
+    """Guards against a committed entry that ends every replica at each start.
+
+    Replicas that restored a snapshot agree with those that applied the log.
+    """
+    machine = Machine()
+    restored = Machine().state
+    for command in log:
+        encoded = commands.encode(command)
+        machine.apply_command(commands.decode(encoded))
+        restored.apply(restored.index + 1, 10, commands.decode(encoded))
+        restored = state.decode_snapshot(restored.encode_snapshot())
+    assert restored.encode_snapshot() == machine.state.encode_snapshot()
