Daemon: announcements and operators' changes get the same check

What callers saw: 100,000 nested brackets, max_body_bytes or expect_version beyond 64 bits in an operator's change got a 500 with a traceback; a rate of 1e308, a change id of 100,000 characters (20,000 are stored) and a digest that is none were taken (200). Announced addresses 0.0.0.0:80, 224.0.0.1:80, ::1:80, ]127.0.0.1[:80 and 127.0.0.1:080 were taken and tried. Change: both decode with `bounds.decode_json`; ids, digests, change ids and versions have bounds, addresses are those of one host ([IPv6]:PORT too, as before), and numbers and texts of settings are checked node by node. Test: test_a_daemon_refuses_odd_announcements_and_changes; before, it failed with 200 for all those addresses.

--- a/src/pollenseam/announcing.py
+++ b/src/pollenseam/announcing.py
@@ -5,15 +5,16 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import catalog
 from pollenseam import errors
-from pollenseam import flags
 from pollenseam import keys
 from pollenseam import members
 from pollenseam import messages
 from pollenseam import vm
 
 MAX_SLOTS = 100_000
+MAX_LOAD = 1e9
 MAX_BODY_BYTES = 4096
 
 
@@ -30,30 +31,23 @@
     state: Literal["starting", "serving", "leaving", "gone"]
     ttl_ms: Annotated[int, msgspec.Meta(ge=100, le=members.MAX_TTL_MS)]
     connections: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
-    load: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-
-
-_decode = msgspec.json.Decoder(Announcement).decode
+    load: Annotated[float, msgspec.Meta(ge=0, le=MAX_LOAD)] = 0.0
 
 
 def parse(body: bytes) -> Announcement:
     """Returns the announcement in a request body.
 
     Raises:
-        RefusedError: The body is too large or malformed.
+        RefusedError: The body is too large or malformed, or the address is
+            not that of one host.
     """
     if len(body) > MAX_BODY_BYTES:
         raise errors.refuse(
             errors.Kind.BODY_TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes"
         )
-    try:
-        announcement = _decode(body)
-        flags.check_address("address", announcement.address)
-    except msgspec.DecodeError as error:
-        raise errors.refuse(errors.Kind.MALFORMED, str(error)) from error
-    except errors.FlagError as error:
-        detail = "address is not IP:PORT"
-        raise errors.refuse(errors.Kind.MALFORMED, detail) from error
+    announcement = bounds.decode_json(body, Announcement)
+    bounds.check("announcement", announcement)
+    bounds.check_address("address", announcement.address, allows_ipv6=True)
     return announcement
 
 
--- a/src/pollenseam/bounds.py
+++ b/src/pollenseam/bounds.py
@@ -6,6 +6,7 @@
 every message, log entry and snapshot.
 """
 
+import ipaddress
 import re
 from typing import TypeVar
 
@@ -33,6 +34,9 @@
 _ADDRESS = re.compile(
     rf"{_HOST_OCTET}\.{_OCTET}\.{_OCTET}\.{_OCTET}:(?P<port>[1-9][0-9]{{0,4}})"
 )
+_IPV6_ADDRESS = re.compile(
+    r"\[[0-9A-Fa-f:.]+\]:(?P<port>[1-9][0-9]{0,4})", re.ASCII
+)
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
 
 
@@ -137,17 +141,32 @@
     check_text(name, value)
 
 
-def check_address(name: str, value: str) -> None:
-    """Checks that a text is the IPv4 address and port of one host.
+def check_address(name: str, value: str, allows_ipv6: bool = False) -> None:
+    """Checks that a text is the address and port of one host.
+
+    Args:
+        name: What the value is, for the message.
+        value: IP:PORT, or [IP]:PORT of an IPv6 address.
+        allows_ipv6: Whether an IPv6 address is valid too.
 
     Raises:
         RefusedError: It is not, or no single host can have the address.
     """
     match = _ADDRESS.fullmatch(value)
+    if match is None and allows_ipv6 and _is_ipv6_host(value):
+        match = _IPV6_ADDRESS.fullmatch(value)
     if match is None or int(match["port"]) > MAX_PORT:
         raise _malformed(f"{name} {_shown(value)} is not IP:PORT of a host")
 
 
+def _is_ipv6_host(value: str) -> bool:
+    try:
+        ip = ipaddress.IPv6Address(value.rpartition(":")[0].strip("[]"))
+    except ValueError:
+        return False
+    return not (ip.is_unspecified or ip.is_multicast)
+
+
 def milliseconds(name: str, seconds: float) -> int:
     """Returns a time in milliseconds, without the rest.
 
--- a/src/pollenseam/operators.py
+++ b/src/pollenseam/operators.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Annotated
 from typing import Any
 
 import msgspec
 from aiohttp import web
 
+from pollenseam import bounds
 from pollenseam import commands
 from pollenseam import errors
 from pollenseam import keys
@@ -21,6 +23,13 @@
 DEADLINE_SECONDS = 8.0
 MAX_WAIT_MS = 60_000
 
+# Ids are parts of paths and of secrets.
+Id = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9-]{1,64}\Z")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
+# The latest ones are stored.
+ChangeId = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=bounds.MAX_INTEGER)]
+
 
 class ApplyRequest(msgspec.Struct, forbid_unknown_fields=True):
     """Requests the replacement of a subtree of the settings.
@@ -34,9 +43,9 @@
     """
 
     document: dict[str, Any]
-    change_id: str
+    change_id: ChangeId
     at: str = "/"
-    expect_version: int | None = None
+    expect_version: Version | None = None
 
 
 class IssueRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -51,9 +60,9 @@
     """
 
     path: str
-    id: str
-    digest: str
-    change_id: str
+    id: Id
+    digest: Digest
+    change_id: ChangeId
 
 
 class WithdrawRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -65,7 +74,7 @@
     """
 
     id: str
-    change_id: str
+    change_id: ChangeId
 
 
 class ShiftRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -79,7 +88,7 @@
 
     path: str
     state: str
-    change_id: str
+    change_id: ChangeId
 
 
 class ReplicaRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -259,8 +268,8 @@
         """Returns the JSON body of a request, decoded to a struct type.
 
         Raises:
-            RefusedError: The body is too large, has no Content-Length or does
-                not match the type.
+            RefusedError: The body is too large, has no Content-Length, does
+                not match the type, or a text in it is out of bounds.
         """
         length = request.content_length
         if length is None or length > MAX_BODY_BYTES:
@@ -268,11 +277,12 @@
                 errors.Kind.BODY_TOO_LARGE,
                 f"Content-Length must be given and at most {MAX_BODY_BYTES}",
             )
-        try:
-            return msgspec.json.decode(await request.content.read(), type=type_)
-        except msgspec.DecodeError as error:
-            detail = str(error)
-            raise errors.refuse(errors.Kind.MALFORMED, detail) from error
+        body = bounds.decode_json(await request.content.read(), type_)
+        for field in body.__struct_fields__:
+            # Settings are checked node by node.
+            if field != "document":
+                bounds.check(field, getattr(body, field))
+        return body
 
     async def _submit(self, command: commands.Command) -> ChangeResponse:
         try:
@@ -471,6 +481,8 @@
         self, request: web.BaseRequest, digest: str
     ) -> ChangeResponse:
         body: ReplicaRequest = await self._decode_body(request, ReplicaRequest)
+        if body.address:
+            bounds.check_address("address", body.address, allows_ipv6=True)
         change = messages.ReplicaChange(digest, body.name, body.address, 0)
         response = await self.submitter.change_replica(change, self._deadline())
         if response.kind:
--- a/src/pollenseam/settings.py
+++ b/src/pollenseam/settings.py
@@ -10,6 +10,9 @@
 import msgspec
 import result
 
+from pollenseam import bounds
+from pollenseam import errors
+
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 MAX_PATH_CHARACTERS = 400
 
@@ -313,7 +316,11 @@
             problems.append(Problem(f"{path}/{name}", reason))
             return
     try:
-        nodes[path] = msgspec.convert(value, type_)  # type: ignore[assignment]
+        node = msgspec.convert(value, type_)
+        bounds.check(path.rpartition("/")[2], node)
+        nodes[path] = node  # type: ignore[assignment]
+    except errors.RefusedError as error:
+        problems.append(Problem(path, error.refusal.detail))
     except msgspec.ValidationError as error:
         reason, _, where = str(error).partition(" - at `$")
         below = where.rstrip("`").replace(".", "/")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,6 +7,7 @@
 import controls
 import entries
 import gateway
+import harness
 import hypothesis
 import machines
 import msgspec
@@ -22,6 +23,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import items
+from pollenseam import keys
 from pollenseam import messages
 from pollenseam import peers
 from pollenseam import registry
@@ -356,3 +358,83 @@
     assert entry_vm.pools["s1"].upstreams.keys() == {"good"}
     assert output.getvalue().count("event=upstream-unusable ") == len(odd)
     await entry_vm.dispatcher.close()
+
+
+DIGEST = "0" * 64
+ANNOUNCEMENT = {
+    "service": "svc",
+    "upstream": "u1",
+    "address": "127.0.0.1:9",
+    "region": "r1",
+    "failure_domain": "d1",
+    "slots": 3,
+    "incarnation": 1,
+    "state": "serving",
+    "ttl_ms": 3000,
+    "load": 1,
+}
+APPLY = {"document": {}, "change_id": "c", "at": "/teams/odd"}
+ISSUE = {"path": "/", "id": "odd", "digest": DIGEST, "change_id": "c"}
+ODD_ANNOUNCEMENTS = {
+    "address": [
+        *['"0.0.0.0:80"', '"224.0.0.1:80"', '"::1:80"', '"[::]:80"'],
+        *['"]127.0.0.1[:80"', '"127.0.0.1:080"', '"[::1]:0"', '"a:80"'],
+    ],
+    "load": ["1e308", "-1", "NaN"],
+    "slots": [BEYOND_64_BITS, "0"],
+    "incarnation": [BEYOND_64_BITS],
+    "service": ['"\\u0000"', NESTED[:2000]],
+}
+MANY_BYTES = '{"max_body_bytes":18446744073709551616}'
+ODD_CHANGES = [
+    ("apply", APPLY, "document.more", NESTED),
+    ("apply", APPLY, "document.defaults", MANY_BYTES),
+    ("apply", APPLY, "document.workspaces", '{"w":{"rate":1e308,"burst":1}}'),
+    ("apply", APPLY, "expect_version", BEYOND_64_BITS),
+    ("apply", APPLY, "change_id", LONG),
+    ("apply", APPLY, "at", '"/teams/a\\nb"'),
+    ("operators/issue", ISSUE, "digest", '"\\u00e9"'),
+    ("operators/issue", ISSUE, "path", LONG),
+    ("keys/issue", ISSUE, "id", '"a/keys/b"'),
+    ("keys/issue", ISSUE, "id", '""'),
+    ("keys/withdraw", {"id": "k", "change_id": "c"}, "id", LONG),
+    ("replicas", {"name": "v9"}, "address", '"127.0.0.1:99999"'),
+]
+
+
+async def test_a_daemon_refuses_odd_announcements_and_changes(tmp_path):
+    """Guards against tracebacks (500) and odd values in the daemon."""
+    async with harness.running(tmp_path) as bench:
+        key = keys.generate()
+        await bench.issue(key.text, "/teams/t/services/svc")
+        tree = bench.daemon.vm.replica_runner.state.tree
+        before = tree.changed_index
+
+        async def post(page, body, secret):
+            url = f"http://{bench.caller}/.pollenseam/{page}"
+            headers = {"Authorization": f"Bearer {secret}"}
+            async with bench.session.post(
+                url, data=body, headers=headers
+            ) as response:
+                return response.status
+
+        wrong = {}
+        for path, odd_tokens in ODD_ANNOUNCEMENTS.items():
+            for token in odd_tokens:
+                body = replaced(ANNOUNCEMENT, path, token)
+                status = await post("announce", body, key.text)
+                if status != 400:
+                    wrong[path, token[:40]] = status
+        for page, document, path, token in ODD_CHANGES:
+            body = replaced(document, path, token)
+            status = await post(f"control/{page}", body, harness.ROOT)
+            if status != 400:
+                wrong[page, path, token[:40]] = status
+        assert wrong == {}
+        assert not bench.daemon.vm.directory.upstreams
+        assert tree.changed_index == before
+        for address in ("127.0.0.1:9", "[::1]:9"):
+            body = json.dumps(ANNOUNCEMENT | {"address": address})
+            assert await post("announce", body, key.text) == 200
+        body = json.dumps(ISSUE)
+        assert await post("control/operators/issue", body, harness.ROOT) == 200
