Calls between VMs: an odd message silences no process

What callers saw: nothing yet. A message with a logical time near 2**64 made every further message of its receiver fail with OverflowError, and a task that calls others so ends its process; an answer nested 100,000 levels deep did the same with RecursionError. Cause: the clock took over any time; only DecodeError counted as undecodable. Change: a time above 2**62, which counting cannot reach, is ignored; RecursionError of a decoder is treated like its other errors. Test: test_an_odd_message_silences_no_process; before: UnreachableError, "Unexpected [OverflowError] raised by servicer method".

--- a/src/pollenseam/events.py
+++ b/src/pollenseam/events.py
@@ -15,6 +15,7 @@
 # Lines per event name written by `emit_often`. Further lines are dropped and
 # their number is logged.
 MAX_LINES_PER_SECOND = 50
+MAX_LOGICAL_TIME = 2**62
 
 
 class LogicalClock:
@@ -35,8 +36,13 @@
         return self.time
 
     def observe(self, other: int) -> None:
-        """Advances the clock to the logical time of a received message."""
-        self.time = max(self.time, other)
+        """Advances the clock to the logical time of a received message.
+
+        A time that no clock can have reached by counting is ignored: the ones
+        after it could not be encoded, and this VM would be silent.
+        """
+        if other <= MAX_LOGICAL_TIME:
+            self.time = max(self.time, other)
 
 
 class EventLog:
--- a/src/pollenseam/peers.py
+++ b/src/pollenseam/peers.py
@@ -47,6 +47,9 @@
     ("grpc.so_reuseport", 0),
 )
 
+# What a decoder raises: the last one for arrays that are nested too deeply.
+UNDECODABLE = (msgspec.DecodeError, RecursionError)
+
 # Channel options, of which others replace some.
 Options = tuple[tuple[str, int], ...]
 
@@ -249,7 +252,7 @@
         )
         try:
             response = method.decode_response(raw)
-        except msgspec.DecodeError as error:
+        except UNDECODABLE as error:
             raise errors.UnreachableError(f"{address}: {error}") from error
         self.clock.observe(response.logical)
         return response
@@ -465,7 +468,7 @@
             self.traffic.record_received(method.name, len(data))
             try:
                 request = method.decode_request(data)
-            except msgspec.DecodeError as error:
+            except UNDECODABLE as error:
                 await context.abort(
                     grpc.StatusCode.INVALID_ARGUMENT, str(error)
                 )
@@ -518,7 +521,7 @@
         self.traffic.record_received(method.name, len(data))
         try:
             request = method.decode_request(data)
-        except msgspec.DecodeError as error:
+        except UNDECODABLE as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         self.clock.observe(request.logical)
         started_at = time.monotonic()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -187,3 +187,31 @@
         await server.stop(0)
         await asyncio.gather(*stops)
         await client.close()
+
+
+async def test_an_odd_message_silences_no_process():
+    """Guards against a logical time after which nothing can be encoded.
+
+    Nested too deeply, a message or an answer is one that cannot be read.
+    """
+    address = f"127.0.0.1:{fleet.free_port()}"
+    server = await start_server(address, [])
+    client = peers.Client(events.LogicalClock())
+    other = peers.Client(events.LogicalClock())
+    other.clock.time = 2**64 - 2
+    for caller in (other, client):
+        response = await caller.call(
+            address, peers.READ, messages.ReadIndex(0), 2.0
+        )
+        assert response.index == 7 and response.logical < 10
+    nested = b"\x92\x00" + b"\x91" * 100_000
+    async with grpc.aio.insecure_channel(address) as channel:
+        call = channel.unary_unary(f"/{peers.SERVICE}/Read")
+        with pytest.raises(grpc.aio.AioRpcError) as caught:
+            await call(nested)
+    assert caught.value.code() == grpc.StatusCode.INVALID_ARGUMENT
+    with pytest.raises(errors.UnreachableError):
+        client._accept(address, peers.READ, nested, 0.0)
+    await client.close()
+    await other.close()
+    await server.stop(0)
