Leader: an odd demand or record of one VM changes nothing for others

What callers saw: nothing yet. A demanded rate of NaN (or -inf) in one renewal made the shares of a workspace NaN at all entry VMs; 1e308 took them all for one VM. A name of any length became part of the directory, which goes to all VMs. Cause: renewals were taken as they came; sums over all VMs keep a NaN. Change: a demand that is no amount gets no share and a line (`demand-refused`), the sender's other demands are answered; records of VMs have bounds of text and numbers. The rest of a renewal (stated rates, crash evidence) is not checked here. Test: test_an_odd_demand_changes_no_share_of_others; before: a share with rate NaN.

--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import messages
 from pollenseam import observations
 from pollenseam import peers
@@ -175,6 +176,30 @@
     logical: int = 0
 
 
+def check_record(record: EntryVm | ControlVm) -> None:
+    """Checks the record of a VM before it becomes part of the directory.
+
+    Raises:
+        RefusedError: A value is out of bounds.
+    """
+    bounds.check("record of a VM", record)
+
+
+def is_valid_demand(demand: messages.ResourceDemand) -> bool:
+    """Returns whether all parts of a demand are amounts.
+
+    The demands of one VM count for the shares of all others.
+    """
+    amounts = (
+        demand.returned_tokens,
+        demand.demanded_tokens,
+        demand.overdrawn_tokens,
+    )
+    return 0 <= demand.demanded_rate <= bounds.MAX_FLOAT and all(
+        abs(amount) <= bounds.MAX_FLOAT for amount in amounts
+    )
+
+
 WATCH = peers.Method("Watch", Watch, WatchResponse)
 RENEW = peers.Method("Renew", Renew, messages.LeaseResponse)
 JOIN = peers.Method("Join", Join, JoinResponse)
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -624,6 +624,7 @@
     async def _answer_join(
         self, request: controlmessages.Join
     ) -> controlmessages.JoinResponse:
+        controlmessages.check_record(request.control)
         runner = self.replica_runner
         if not runner.is_leader:
             return controlmessages.JoinResponse(False, runner.leader_address)
@@ -649,6 +650,7 @@
         asker = "entry" if request.control is None else "control"
         self.metrics.watches.add(asker)
         if request.control is not None and runner.is_leader:
+            controlmessages.check_record(request.control)
             self.liveness.record_upstreams(request.announced_ids, self.now())
             members = runner.replica.members
             id = request.control.replica_id
@@ -689,6 +691,7 @@
         A lease ends LEASE_SECONDS after the time at which leadership was
         confirmed, so that the next leader knows when all leases have ended.
         """
+        controlmessages.check_record(request.entry)
         runner = self.replica_runner
         confirmed_at = runner.confirmed_at()
         if confirmed_at is None:
@@ -712,7 +715,7 @@
                 limits.get(demand.resource, ZERO_LIMIT),
                 now,
             )
-            for demand in request.demands
+            for demand in self._valid_demands(request)
         ]
         if request.is_complete:
             lender.record_report(request.entry.name, now)
@@ -730,6 +733,21 @@
             self.board.answer(request.observed, term, now),
         )
 
+    def _valid_demands(
+        self, request: controlmessages.Renew
+    ) -> list[messages.ResourceDemand]:
+        valid: list[messages.ResourceDemand] = []
+        for demand in request.demands:
+            if controlmessages.is_valid_demand(demand):
+                valid.append(demand)
+            else:
+                self.log.emit_often(
+                    "demand-refused",
+                    entry=request.entry.name,
+                    resource=demand.resource,
+                )
+        return valid
+
     def _limits(self) -> dict[str, leases.Limit]:
         """Returns the fleet-wide limit of each limited workspace, by name.
 
--- a/tests/test_controlvm.py
+++ b/tests/test_controlvm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import math
 import pathlib
 import random
 
@@ -103,6 +104,40 @@
     assert [u.id for u in page.upstreams] == [f"i{n}" for n in range(2, 12)]
 
 
+async def test_an_odd_demand_changes_no_share_of_others(tmp_path, monkeypatch):
+    """Guards against one odd message that makes all shares NaN."""
+    log = events.open_log("c1", stream=io.StringIO())
+    control_vm = controlvm.ControlVm(
+        settings_in(tmp_path), log, peers.Client(log.clock)
+    )
+    monkeypatch.setattr(
+        control_vm.replica_runner, "confirmed_at", lambda: control_vm.now()
+    )
+    now = control_vm.now()
+    control_vm.replica_runner.lending = lending.LeaseServer(
+        leases.Lender(now - 1.0)
+    )
+    control_vm._start_leading(2, now)
+    workspace = items.Workspace(["k"], None, 10.0, 10.0, [])
+    control_vm.applied_registry.patch(
+        1, [items.Item("workspace", "w", 1, workspace)]
+    )
+
+    async def share_of(name, rate):
+        demand = messages.ResourceDemand("w", 0.0, 0.0, rate)
+        request = controlmessages.Renew(entry(name), [demand])
+        return (await control_vm._answer_renew(request)).shares
+
+    [alone] = await share_of("e1", 5.0)
+    for rate in (math.nan, math.inf, -math.inf, 1e308, -5.0):
+        assert await share_of("e2", rate) == []
+        [share] = await share_of("e1", 5.0)
+        assert (share.rate, share.burst) == (alone.rate, alone.burst)
+    with pytest.raises(errors.RefusedError):
+        await share_of("e" * 100_000, 5.0)
+    assert [e.name for e in control_vm.directory.entries] == ["e1", "e2"]
+
+
 def entry(name: str) -> controlmessages.EntryVm:
     return controlmessages.EntryVm(name, 1, "127.0.0.1:2", "r1", "d1", True)
 
