--- a/src/pollenseam/state.py
+++ b/src/pollenseam/state.py
@@ -158,9 +158,13 @@
     """Returns the state of an encoded snapshot.
 
     Raises:
-        msgspec.DecodeError: `data` is not an encoded snapshot.
+        DamagedError: `data` is not an encoded snapshot of this version or an
+            earlier one.
     """
-    snapshot = _decoder.decode(data)
+    try:
+        snapshot = _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.DamagedError(f"the snapshot: {error}") from error
     state = State()
     state.clock_ms = snapshot.clock_ms
     changed_index = snapshot.versions.get("/", 0)
--- a/src/pollenseam/submitter.py
+++ b/src/pollenseam/submitter.py
@@ -243,10 +243,10 @@
         self, runner: replicarunner.ReplicaRunner, request: messages.Submit
     ) -> messages.SubmitResponse:
         try:
-            command = commands.decode(request.command)
-        except msgspec.DecodeError as error:
-            kind = errors.Kind.MALFORMED
-            return messages.SubmitResponse(b"", kind, str(error), 0)
+            command = commands.decode_proposal(request.command)
+        except errors.RefusedError as error:
+            refusal = error.refusal
+            return messages.SubmitResponse(b"", refusal.kind, refusal.detail, 0)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 outcome = await runner.submit(command)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -272,3 +272,13 @@
         restored.apply(restored.index + 1, 10, commands.decode(encoded))
         restored = state.decode_snapshot(restored.encode_snapshot())
     assert restored.encode_snapshot() == machine.state.encode_snapshot()
+
+
+@pytest.mark.parametrize("data", [b"", b"odd", b"\x97" + b"\x91" * 100_000])
+def test_a_snapshot_that_cannot_be_read_is_damage(data):
+    """Guards against a replica that ends with a traceback.
+
+    Damage is what its runner and the programs know and report.
+    """
+    with pytest.raises(errors.DamagedError):
+        state.decode_snapshot(data)
