--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -438,3 +438,14 @@
             assert await post("announce", body, key.text) == 200
         body = json.dumps(ISSUE)
         assert await post("control/operators/issue", body, harness.ROOT) == 200
+
+
+async def test_odd_calls_hide_no_call_in_the_metrics(tmp_path):
+    """Guards against names of other writers that use up all series."""
+    async with controls.running(tmp_path) as control:
+        for number in range(250):
+            assert (await control.call(f"odd-{number}"))[0] == 404
+        assert (await control.call("config.get"))[0] == 200
+        counts = control.vm.metrics.calls.counts
+        assert counts["config.get", "200"] == 1
+        assert len(counts) == 2
