Bounds: checks of texts and numbers come first

Cause: a patch of 1,400 routes took 47 ms to decode and check, before the bounds 17 ms; most of the rest tested types. Change: the common types are tested first. Only the order of the tests of types changed.

--- a/src/pollenseam/bounds.py
+++ b/src/pollenseam/bounds.py
@@ -84,9 +84,12 @@
     Raises:
         RefusedError: A number or text is out of bounds.
     """
-    if isinstance(value, msgspec.Struct):
-        for field in value.__struct_fields__:
-            check(f"{name}.{field}", getattr(value, field))
+    if isinstance(value, str):
+        check_text(name, value)
+    elif isinstance(value, int):
+        check_number(name, value, -MAX_INTEGER, MAX_INTEGER)
+    elif isinstance(value, float):
+        check_number(name, value, -MAX_FLOAT, MAX_FLOAT)
     elif isinstance(value, list | tuple):
         for element in value:
             check(name, element)
@@ -94,12 +97,9 @@
         for key, element in value.items():
             check(f"a key of {name}", key)
             check(name, element)
-    elif isinstance(value, int):
-        check_number(name, value, -MAX_INTEGER, MAX_INTEGER)
-    elif isinstance(value, float):
-        check_number(name, value, -MAX_FLOAT, MAX_FLOAT)
-    elif isinstance(value, str):
-        check_text(name, value)
+    elif isinstance(value, msgspec.Struct):
+        for field in value.__struct_fields__:
+            check(f"{name}.{field}", getattr(value, field))
 
 
 def check_number(
