Entry VMs: an odd load in an answer is as if none was reported

What callers saw: after one answer with a load of 10^400 in X-Server-Load, every call to the service at that entry VM got 500, the answers of sound upstreams too, until its program started again. Negative counts made an upstream look emptier than empty. Cause: the same as with odd entries: a number without bounds. int() takes up to 4,300 digits and a sign; the load then stands in the upstream's statistics, and each choice among upstreams divides by floats (OverflowError, no refusal). Ruled out: Server-Limit, which has had bounds all along. Test: test_an_odd_load_in_an_answer_fails_no_call; before: OverflowError.

--- a/tests/test_rogue_upstreams.py
+++ b/tests/test_rogue_upstreams.py
@@ -10,6 +10,7 @@
 import gateway
 import multidict
 import pytest
+import scripted
 import test_items
 
 from pollenseam import calls
@@ -239,3 +240,30 @@
     assert buffers.total_bytes == 0
     await entry_vm.dispatcher.close()
     upstream._server.close()
+
+
+async def test_an_odd_load_in_an_answer_fails_no_call():
+    """Guards against one odd number after which a service gets only 500.
+
+    It stood in the upstream's load, which every choice among upstreams reads.
+    """
+    loads = ["1" + "0" * 400 + ",0,3", "1," + "9" * 400, "-5,-7,3", "\xb2,0"]
+    answers = [
+        scripted.answer(
+            "200 OK",
+            *["X-Request-Id: q1", "X-Reply-Stamp: s"],
+            f"X-Server-Load: {load}",
+        )
+        for load in [*loads, " 1 , 0 , 3"]
+    ]
+    upstream = scripted.ScriptedUpstream(answers)
+    await upstream.listen()
+    entry_vm = make_entry_vm(upstream.address)
+    stats = entry_vm.pools["s1"].upstreams["i1"]
+    for _ in loads:
+        assert (await entry_vm.serve(make_call(entry_vm))).status == 200
+        assert stats.load(entry_vm.now()) == 0
+    assert (await entry_vm.serve(make_call(entry_vm))).status == 200
+    assert stats.load(entry_vm.now()) > 0
+    await entry_vm.dispatcher.close()
+    upstream.close()
