--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -31,6 +31,7 @@
 from pollenseam import registrysync
 from pollenseam import replicarunner
 from pollenseam import tasks
+from pollenseam import validity
 from pollenseam import vm
 
 # Interval of the leader's periodic duties.
@@ -280,6 +281,12 @@
 
     def _on_applied(self) -> None:
         if self.applied_registry.index != self._index:
+            for record in self.applied_registry.upstreams_after(self._index):
+                why = validity.why_unusable(record)
+                if why:
+                    self.log.emit_often(
+                        "upstream-unusable", id=record.id, reason=why
+                    )
             self._index = self.applied_registry.index
             changed = self.changed
             self.changed = asyncio.Event()
@@ -477,6 +484,8 @@
                 MAX_PATCH_TRANSFER_BYTES.
             UnreachableError: The outcome is not known by `deadline`.
         """
+        command = commands.PatchItems(patch)
+        commands.check(command)
         size = registry.encoded_size(patch)
         if size > MAX_PATCH_TRANSFER_BYTES:
             raise errors.refuse(
@@ -484,9 +493,7 @@
                 f"the patch has {size} bytes compressed, above the limit of "
                 f"{MAX_PATCH_TRANSFER_BYTES}; send it in parts",
             )
-        outcome = await self.proposer.submit(
-            commands.PatchItems(patch), deadline
-        )
+        outcome = await self.proposer.submit(command, deadline)
         if outcome.kind:
             raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
         return outcome.index
@@ -497,9 +504,11 @@
         """Starts or ends the evacuation of a failure domain.
 
         Raises:
+            RefusedError: The failure domain's name is out of bounds.
             UnreachableError: The outcome is not known by `deadline`.
         """
         command = commands.SetEvacuation(failure_domain, is_on)
+        commands.check(command)
         await self.proposer.submit(command, deadline)
 
     async def announce(
@@ -512,14 +521,15 @@
         the leader.
 
         Raises:
+            RefusedError: A value of the record is out of bounds.
             UnreachableError: The announcement could not be recorded by
                 `deadline`, or it is a heartbeat and the leader is
                 unreachable.
         """
+        command = commands.RecordUpstreams([record])
+        commands.check(command)
         if self.applied_registry.is_update(record):
-            await self.proposer.submit(
-                commands.RecordUpstreams([record]), deadline
-            )
+            await self.proposer.submit(command, deadline)
             self.log.emit(
                 "upstream",
                 id=record.id,
@@ -544,8 +554,10 @@
             deadline: Time by which the record must be committed.
 
         Raises:
+            RefusedError: The id or the start is out of bounds.
             UnreachableError: The stop could not be recorded by `deadline`.
         """
+        validity.check(registry.ended_record(id, started_ms))
         known = self.applied_registry.upstreams.get(id)
         if known is None or not started_ms:
             # This replica may not have applied the latest start yet.
@@ -586,7 +598,13 @@
         runner = self.replica_runner
         kind = errors.Kind.NO_QUORUM
         try:
-            command = commands.decode(request.command)
+            command = commands.decode_proposal(request.command)
+        except errors.RefusedError as error:
+            refusal = error.refusal
+            self.log.emit("command-refused", reason=refusal.detail)
+            outcome = commands.Outcome(refusal.kind, refusal.detail)
+            return messages.SubmitResponse(messages.encode(outcome), "", "", 0)
+        try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 outcome = await runner.submit(command)
         except (errors.NotLeaderError, TimeoutError):
@@ -606,6 +624,7 @@
     async def _answer_join(
         self, request: controlmessages.Join
     ) -> controlmessages.JoinResponse:
+        controlmessages.check_record(request.control)
         runner = self.replica_runner
         if not runner.is_leader:
             return controlmessages.JoinResponse(False, runner.leader_address)
@@ -631,6 +650,7 @@
         asker = "entry" if request.control is None else "control"
         self.metrics.watches.add(asker)
         if request.control is not None and runner.is_leader:
+            controlmessages.check_record(request.control)
             self.liveness.record_upstreams(request.announced_ids, self.now())
             members = runner.replica.members
             id = request.control.replica_id
@@ -671,6 +691,7 @@
         A lease ends LEASE_SECONDS after the time at which leadership was
         confirmed, so that the next leader knows when all leases have ended.
         """
+        controlmessages.check_record(request.entry)
         runner = self.replica_runner
         confirmed_at = runner.confirmed_at()
         if confirmed_at is None:
@@ -694,7 +715,7 @@
                 limits.get(demand.resource, ZERO_LIMIT),
                 now,
             )
-            for demand in request.demands
+            for demand in self._valid_demands(request)
         ]
         if request.is_complete:
             lender.record_report(request.entry.name, now)
@@ -712,6 +733,21 @@
             self.board.answer(request.observed, term, now),
         )
 
+    def _valid_demands(
+        self, request: controlmessages.Renew
+    ) -> list[messages.ResourceDemand]:
+        valid: list[messages.ResourceDemand] = []
+        for demand in request.demands:
+            if controlmessages.is_valid_demand(demand):
+                valid.append(demand)
+            else:
+                self.log.emit_often(
+                    "demand-refused",
+                    entry=request.entry.name,
+                    resource=demand.resource,
+                )
+        return valid
+
     def _limits(self) -> dict[str, leases.Limit]:
         """Returns the fleet-wide limit of each limited workspace, by name.
 
--- a/src/pollenseam/registry.py
+++ b/src/pollenseam/registry.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import items
 
 # Encoded size above which a page is complete. A page takes 0.13 s on a link of
@@ -18,6 +19,8 @@
 # Records of stopped and expired upstreams are kept for this time, so that a
 # delayed announcement does not add the upstream again.
 ENDED_RETENTION_MS = 120_000
+# Encoded size above which the record of an upstream is not sent.
+MAX_UPSTREAM_BYTES = 64 * 1024
 
 SERVING = "serving"
 LEAVING = "leaving"
@@ -301,6 +304,16 @@
         else:
             self.evacuated.discard(record.failure_domain)
 
+    def discard_upstream(self, id: str) -> None:
+        """Removes the record of an upstream, if there is one."""
+        self.upstreams.pop(id, None)
+
+    def upstreams_after(self, index: int) -> Iterator[Upstream]:
+        """Yields the upstreams that changed after an index of the log."""
+        for position in self._positions_after(Position(index + 1)):
+            if position.kind == UPSTREAM:
+                yield self.upstreams[position.name]
+
     def page_after(self, after: Position) -> Page:
         """Returns the records that follow a position, up to PAGE_BYTES."""
         page = Page(after == Position(), True, after, [], [], [])
@@ -356,11 +369,17 @@
         # Only control VMs need the document: operators read it there.
         record = msgspec.structs.replace(record, document=b"")
         page.changed_items.append(record)
-    elif isinstance(record, Upstream):
+        return len(_encode(record))
+    size = len(_encode(record))
+    if isinstance(record, Evacuation):
+        page.evacuations.append(record)
+    elif size <= MAX_UPSTREAM_BYTES:
         page.upstreams.append(record)
     else:
-        page.evacuations.append(record)
-    return len(_encode(record))
+        # Of an earlier version; nobody can use it, and links are slow.
+        record = ended_record(record.id, record.started_ms)
+        page.upstreams.append(record)
+    return size
 
 
 def encoded_size(changed_items: list[items.Item]) -> int:
@@ -392,10 +411,15 @@
             known,
             started_ms=started_ms or known.started_ms,
             state=STOPPED,
-            sequence=known.sequence + 1,
+            sequence=min(known.sequence + 1, bounds.MAX_INTEGER),
         )
     if not started_ms:
         return None
+    return ended_record(id, started_ms)
+
+
+def ended_record(id: str, started_ms: int) -> Upstream:
+    """Returns the record of a stopped upstream of which no more is known."""
     return Upstream(id, started_ms, 0, "", "", "", 0, STOPPED)
 
 
--- a/src/pollenseam/state.py
+++ b/src/pollenseam/state.py
@@ -6,13 +6,13 @@
 
 import collections
 import functools
-import hmac
 
 import msgspec
 
 from pollenseam import claims
 from pollenseam import commands
 from pollenseam import errors
+from pollenseam import keys
 from pollenseam import registry
 from pollenseam import settings
 from pollenseam import tree
@@ -118,7 +118,7 @@
         """Returns the operator whose token has this digest, or None."""
         found = None
         for node in self.tree.nodes.values():
-            if isinstance(node, settings.Operator) and hmac.compare_digest(
+            if isinstance(node, settings.Operator) and keys.are_equal(
                 node.digest, token_digest
             ):
                 found = node
@@ -158,9 +158,13 @@
     """Returns the state of an encoded snapshot.
 
     Raises:
-        msgspec.DecodeError: `data` is not an encoded snapshot.
+        DamagedError: `data` is not an encoded snapshot of this version or an
+            earlier one.
     """
-    snapshot = _decoder.decode(data)
+    try:
+        snapshot = _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.DamagedError(f"the snapshot: {error}") from error
     state = State()
     state.clock_ms = snapshot.clock_ms
     changed_index = snapshot.versions.get("/", 0)
