Gossip: a record that cannot be used is dropped where it arrives

What callers saw: nothing yet. An announced load of 1e308, which the daemon took until now, could not be sent on as a heartbeat (OverflowError); an unknown state or a load of NaN raised ValueError. Such an error ends the loop that gossips (read in the code), and as records are passed on, on each VM that got the record. Cause: merged and passed on as received; only the announcing VM checked. Change: `gossiprecords` drops what cannot be worked with, with a line (`gossip-refused`); numbers, states and addresses have the bounds of announcements. Test: test_no_record_keeps_a_vm_from_gossiping; without the check it fails with OverflowError, and ValueError twice.

--- a/src/pollenseam/bounds.py
+++ b/src/pollenseam/bounds.py
@@ -152,11 +152,16 @@
     Raises:
         RefusedError: It is not, or no single host can have the address.
     """
+    if not is_address(value, allows_ipv6):
+        raise _malformed(f"{name} {_shown(value)} is not IP:PORT of a host")
+
+
+def is_address(value: str, allows_ipv6: bool = False) -> bool:
+    """Returns whether a text passes `check_address`."""
     match = _ADDRESS.fullmatch(value)
     if match is None and allows_ipv6 and _is_ipv6_host(value):
         match = _IPV6_ADDRESS.fullmatch(value)
-    if match is None or int(match["port"]) > MAX_PORT:
-        raise _malformed(f"{name} {_shown(value)} is not IP:PORT of a host")
+    return match is not None and int(match["port"]) <= MAX_PORT
 
 
 def _is_ipv6_host(value: str) -> bool:
--- a/src/pollenseam/gossiper.py
+++ b/src/pollenseam/gossiper.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from pollenseam import errors
+from pollenseam import gossiprecords
 from pollenseam import messages
 from pollenseam import peers
 from pollenseam import vm
@@ -102,14 +103,24 @@
             return
         finally:
             self._in_flight.discard(address)
+        self._drop_unusable(response)
         directory.merge(response, self.vm.now())
         if not response.wants_all_records:
             directory.mark_synced(response.sender)
 
+    def _drop_unusable(self, gossip: messages.Gossip) -> None:
+        """Removes records that cannot be merged, and logs their names."""
+        names = gossiprecords.drop_unusable(gossip)
+        if names:
+            self.vm.log.emit_often(
+                "gossip-refused", sender=gossip.sender, names=",".join(names)
+            )
+
     async def answer(self, request: messages.Gossip) -> messages.Gossip:
         """Merges a peer's gossip and returns the gossip for that peer."""
         directory = self.vm.directory
         now = self.vm.now()
+        self._drop_unusable(request)
         directory.merge(request, now)
         if request.wants_all_records:
             directory.mark_synced(request.sender)
