Renewals: an odd observation or directory of another VM hides no later one

Class of the odd entries, sought in what VMs tell each other: a statement of an upstream that was read in the future, or of a start near 2**64, hid every later one; a block of 2**64 ms raised OverflowError at the leader; a directory with such a version kept all later ones out (read, no test). Change: statements are checked before they are adopted, an age below zero is ignored, blocks end after BLOCK_SECONDS, a directory's version must be possible.

--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -81,6 +81,14 @@
         """Term and revision; a newer directory has a higher version."""
         return self.term, self.revision
 
+    def replaces(self, other: "Directory") -> bool:
+        """Returns whether this directory is newer than another one.
+
+        A version that no leader can reach would keep all later ones out.
+        """
+        is_possible = max(self.version) <= bounds.MAX_INTEGER
+        return is_possible and self.version > other.version
+
 
 class Watch(msgspec.Struct, array_like=True):
     """Request for changes of the registry.
--- a/src/pollenseam/crashes.py
+++ b/src/pollenseam/crashes.py
@@ -64,6 +64,11 @@
     crashes: int
     blocked_ms: int = 0
 
+    @property
+    def blocked_seconds(self) -> float:
+        """Time for which the block still holds, at most BLOCK_SECONDS."""
+        return min(max(0, self.blocked_ms) / 1000, BLOCK_SECONDS)
+
 
 # A start of an upstream: its id, and its start in Unix milliseconds.
 Start = tuple[str, int]
@@ -143,7 +148,12 @@
         self._touch(fingerprint, suspect, now)
 
     def record_crash(self, report: CrashReport, now: float) -> None:
-        """Records that a run of a request ended with its upstream."""
+        """Records that a run of a request ended with its upstream.
+
+        One that is said to end in the future is ignored.
+        """
+        if report.age_ms < 0:
+            return
         at = now - report.age_ms / 1000
         suspect = self.suspects.get(report.fingerprint)
         if suspect is not None:
@@ -187,7 +197,7 @@
         suspect = self._suspect(suspicion.fingerprint)
         if suspect.is_blocked(now) or suspect.succeeded_at > NEVER:
             return
-        suspect.blocked_until = now + suspicion.blocked_ms / 1000
+        suspect.blocked_until = now + suspicion.blocked_seconds
         self._touch(suspicion.fingerprint, suspect, now)
 
     def changes_since(self, revision: int, now: float) -> list[Suspicion]:
--- a/src/pollenseam/liveness.py
+++ b/src/pollenseam/liveness.py
@@ -57,7 +57,7 @@
 
     def adopt_directory(self, directory: controlmessages.Directory) -> None:
         """Replaces the directory if the one from the leader is newer."""
-        if directory.version > self.directory.version:
+        if directory.replaces(self.directory):
             self.directory = directory
 
     def record_entry(self, entry: controlmessages.EntryVm, now: float) -> None:
--- a/src/pollenseam/registryfollower.py
+++ b/src/pollenseam/registryfollower.py
@@ -155,7 +155,7 @@
         self, response: controlmessages.WatchResponse, sent_at: float
     ) -> None:
         if response.directory is not None:
-            if response.directory.version > self.directory.version:
+            if response.directory.replaces(self.directory):
                 self.directory = response.directory
                 self.apply_directory(response.directory)
         if response.page is None:
--- a/src/pollenseam/suspects.py
+++ b/src/pollenseam/suspects.py
@@ -177,7 +177,7 @@
             if not suspicion.crashes and not suspicion.blocked_ms:
                 self._clear(fingerprint)
                 continue
-            until = now + suspicion.blocked_ms / 1000
+            until = now + suspicion.blocked_seconds
             self.known[fingerprint] = Known(suspicion.crashes, until, now)
 
     def _clear(self, fingerprint: bytes) -> None:
--- a/src/pollenseam/upstreamstatements.py
+++ b/src/pollenseam/upstreamstatements.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import registry
 from pollenseam import revisions
 
@@ -47,6 +48,16 @@
     age_ms: int
     is_leaving: bool = False
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether the numbers are possible.
+
+        A response that was read in the future would hide all later ones.
+        """
+        has_rate = self.rate == NO_LIMIT or 0 <= self.rate <= MAX_RATE
+        is_past = 0 <= self.age_ms <= bounds.MAX_INTEGER
+        return has_rate and is_past and self.started_ms <= bounds.MAX_INTEGER
+
 
 class Record:
     """The latest known statements of one start of an upstream.
@@ -217,11 +228,15 @@
     ) -> list[Statement]:
         """Records statements that other VMs read, as known to all.
 
+        Those that are not valid are ignored.
+
         Returns:
             The statements that changed what is in force.
         """
         changed: list[Statement] = []
         for statement in statements:
+            if not statement.is_valid:
+                continue
             read_at = now - statement.age_ms / 1000
             has_left = statement.is_leaving and self.record_leaving(
                 statement.upstream, statement.started_ms, read_at
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -1,5 +1,9 @@
 """Exchange of observations between entry VMs, through the leader."""
 
+import pytest
+
+from pollenseam import crashes
+from pollenseam import messages
 from pollenseam import observations
 from pollenseam import upstreamstatements
 
@@ -73,3 +77,41 @@
     assert sent <= 3 + 20.0 / upstreamstatements.REFRESH_SECONDS * 3
     [record] = fleet.views[0].statements.records.values()
     assert record.read_at == 19.5
+
+
+@pytest.mark.parametrize(
+    "rate, age_ms, started_ms",
+    [
+        (5.0, -(10**12), 1),
+        (float("nan"), 0, 1),
+        (float("inf"), 0, 1),
+        (-7.0, 0, 1),
+        (5.0, 2**64 - 1, 1),
+        (5.0, 0, 2**64 - 1),
+    ],
+)
+def test_an_odd_statement_hides_no_later_one(rate, age_ms, started_ms):
+    """Guards against a limit that was read in the future, or is none."""
+    fleet = Fleet(2)
+    odd = upstreamstatements.Statement("i1", started_ms, rate, age_ms)
+    report = observations.Report(statements=(odd,))
+    update = fleet.board.answer(report, 1, 100.0)
+    fleet.views[0].receive(observations.Report(), update, 100.0)
+    fleet.views[1].statements.adopt([odd], 100.0)
+    for view in fleet.views:
+        view.statements.record("i1", 1, 3.0, 101.0)
+    fleet.renew(101.0)
+    fleet.renew(101.5)
+    assert fleet.rates() == [3.0, 3.0]
+
+
+def test_an_odd_block_ends_when_any_other_does():
+    """Guards against a request that is blocked for good."""
+    view = observations.FleetView()
+    board = observations.Board(lambda fingerprint: None)
+    odd = crashes.Suspicion(b"f", 3, 2**64 - 1)
+    update = board.answer(observations.Report(blocks=(odd,)), 1, 100.0)
+    assert messages.encode(update)
+    view.receive(observations.Report(), update, 100.0)
+    until = view.watchlist.blocked_until(b"f", 100.0)
+    assert until <= 100.0 + crashes.BLOCK_SECONDS
