RECOVER: rates of upstreams are divided between VMs that reach them

Found in review: a VM that is cut off stayed one of the three senders of an upstream with a stated or cold rate; where all three were cut off, nobody sent to it for 12 s, and callers got 503. Test (the reviewer's): the only VM of six that reaches the upstreams might send 0 to most of eight; it fails on the code before. Change: the directory's VMs that are cut off are left out of the division. Their calls go through others, which count them already. While VMs hold different directories, for one renewal, six may be senders instead of three, as when a VM comes or goes.

--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -112,7 +112,8 @@
         now: Returns the time since boot in seconds.
         started_ms: Start of this process, in Unix milliseconds.
         follower: Keeps the copy of the registry and the directory current.
-        vms: The directory's entry VMs, which share the rates of upstreams.
+        vms: The directory's entry VMs that reach the upstreams; they share the
+            rates of upstreams.
         table: Routes and keys, compiled from the registry's items.
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
@@ -300,7 +301,10 @@
     def _adopt_directory(self, directory: controlmessages.Directory) -> None:
         self.dispatcher.vm_count = max(1, len(directory.entries))
         self.relayer.helpers.update(directory.entries)
-        regions = {e.name: e.region for e in directory.entries}
+        # One that is cut off sends its calls through others, which count them.
+        regions = {
+            e.name: e.region for e in directory.entries if not e.is_cut_off
+        }
         regions = regions or {self.settings.name: self.settings.region}
         if regions != self.vms.regions:
             self.vms = pacing.Vms(regions)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -12,6 +12,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import peers
+from pollenseam import registry
 from pollenseam import relayhelper
 from pollenseam import relaying
 from pollenseam import relaymessages
@@ -332,3 +333,36 @@
     await entry_vm.dispatcher.close()
     first.close()
     second.close()
+
+
+async def test_rates_of_upstreams_are_divided_between_vms_that_reach_them():
+    """Guards against a limited upstream all senders of which are cut off."""
+    entry_vm = test_rogue_upstreams.make_entry_vm("127.0.0.1:1")
+    records = [
+        registry.Upstream(
+            f"u{n}", 1, 1, "s1", f"127.0.0.1:{n + 1}", "d1", 3, registry.SERVING
+        )
+        for n in range(8)
+    ]
+    entry_vm.registry.record_upstreams(3, 0, records)
+    entry_vm._rebuild_pools()
+    for record in records:
+        entry_vm.fleet_view.statements.record(
+            record.id, 1, 20.0, entry_vm.now()
+        )
+    cut_off = [
+        controlmessages.EntryVm(
+            f"cut-{n}", 1, "127.0.0.1:1", "r1", "z1", True, 1, True
+        )
+        for n in range(5)
+    ]
+    directory = controlmessages.Directory(1, 1, [entry_vm.own_record, *cut_off])
+    entry_vm._adopt_directory(directory)
+    pool = entry_vm.pools["s1"]
+    rates = [
+        pool.own_rate(pool.upstreams[record.id], entry_vm.now())
+        for record in records
+    ]
+    entry_vm.reach_watch.close()
+    await entry_vm.dispatcher.close()
+    assert min(rates) > 0
