--- a/src/pollenseam/attempts.py
+++ b/src/pollenseam/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from pollenseam import calls
+from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
 from pollenseam import steering
@@ -87,3 +88,36 @@
             connection=active_call.connection,
             why=why or None,
         )
+
+    def record_unknown(
+        self,
+        active_call: calls.ActiveCall,
+        upstream: upstreamstats.UpstreamStats,
+        outcome: str,
+        started: float,
+        why: str,
+    ) -> None:
+        """Records an attempt that may have run but got no valid reply."""
+        active_call.deliveries += 1
+        active_call.executions += 1
+        active_call.refusal = errors.Refusal(
+            errors.Kind.UPSTREAM_FAILED,
+            "the upstream broke the connection",
+            "unknown",
+        )
+        self.record_attempt(active_call, upstream, outcome, started, why)
+
+    def record_not_run(
+        self,
+        active_call: calls.ActiveCall,
+        upstream: upstreamstats.UpstreamStats,
+        outcome: str,
+        started: float,
+    ) -> None:
+        """Records an attempt that the upstream declared as not executed."""
+        active_call.deliveries += 1
+        if not active_call.executions:
+            active_call.refusal = errors.Refusal(
+                errors.Kind.NO_ROOM, "the upstream has no room", "no"
+            )
+        self.record_attempt(active_call, upstream, outcome, started, "")
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -150,7 +150,9 @@
                 self._record_break(active_call, upstream.record)
             if getattr(error, "errno", None) in NO_PATH_ERRORS:
                 self._record_connect_failed(active_call, upstream, error)
-            self._record_broken(active_call, upstream, started, repr(error))
+            self.attempt_log.record_unknown(
+                active_call, upstream, "broken", started, repr(error)
+            )
             return None
 
     def _record_connect_failed(
@@ -186,25 +188,6 @@
         elif upstream.is_unreachable(now):
             upstream.record_unreachable(now)
 
-    def _record_broken(
-        self,
-        active_call: calls.ActiveCall,
-        upstream: upstreamstats.UpstreamStats,
-        started: float,
-        why: str,
-    ) -> None:
-        """Records an attempt that may have run but got no valid reply."""
-        active_call.deliveries += 1
-        active_call.executions += 1
-        active_call.refusal = errors.Refusal(
-            errors.Kind.UPSTREAM_FAILED,
-            "the upstream broke the connection",
-            "unknown",
-        )
-        self.attempt_log.record_attempt(
-            active_call, upstream, "broken", started, why
-        )
-
     async def _send_request(
         self,
         active_call: calls.ActiveCall,
@@ -285,17 +268,22 @@
             upstream.others_in_flight = max(0.0, upstream.others_in_flight + 1)
         if head.is_replaced:
             upstream.record_unreachable(now)
-            self._record_not_run(active_call, upstream, "replaced", started)
+            self.attempt_log.record_not_run(
+                active_call, upstream, "replaced", started
+            )
             return None
         if head.is_not_run:
             upstream.record_shed(now)
-            self._record_not_run(active_call, upstream, "shed", started)
+            self.attempt_log.record_not_run(
+                active_call, upstream, "shed", started
+            )
             return None
         if not head.matches_request:
             upstream.record_error(now)
-            self._record_broken(
+            self.attempt_log.record_unknown(
                 active_call,
                 upstream,
+                "broken",
                 started,
                 "the reply does not match the request",
             )
@@ -332,23 +320,6 @@
                 source="response",
             )
 
-    def _record_not_run(
-        self,
-        active_call: calls.ActiveCall,
-        upstream: upstreamstats.UpstreamStats,
-        outcome: str,
-        started: float,
-    ) -> None:
-        """Records an attempt that the upstream declared as not executed."""
-        active_call.deliveries += 1
-        if not active_call.executions:
-            active_call.refusal = errors.Refusal(
-                errors.Kind.NO_ROOM, "the upstream has no room", "no"
-            )
-        self.attempt_log.record_attempt(
-            active_call, upstream, outcome, started, ""
-        )
-
     def _evaluate_reply(
         self,
         active_call: calls.ActiveCall,
