RECOVER: calls that wait on silent connections are sent again at once

What callers saw: in the first seconds of a silent cut, calls on kept connections waited until the kernel ended these (2 to 3 s) or for their whole time, and ended with 504.

Cause: a call waits for its own connection only.

Change: - A connect that fails, or a service of which no reply came for 0.4 s while a call waits beyond 1.5 of its expected time, has connections to two upstreams opened (at most once in 1 s and 2 s). They decide, as before: reachability.py is unchanged. - Once the service is unreached, a round of connects includes the upstreams for which idempotent calls wait (16 at most).

Weighed and left: TCP_INFO and a shorter user time-out (docs/design).

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -202,6 +202,7 @@
         needs_helper: Whether a connection would have had to be opened although
             this VM reaches no upstream.
         is_helpless: Whether no other VM could send the call.
+        has_retry: Whether the next attempt's retry was taken from the budget.
     """
 
     __slots__ = (
@@ -224,6 +225,7 @@
         "received_by",
         "needs_helper",
         "is_helpless",
+        "has_retry",
         "_fingerprint",
     )
 
@@ -256,6 +258,7 @@
         self.connection = connects.NONE
         self.needs_helper = False
         self.is_helpless = False
+        self.has_retry = False
         self._fingerprint = b""
 
     @property
@@ -300,6 +303,14 @@
             return False
         return self.may_run_again()
 
+    def may_run_twice(self) -> bool:
+        """Returns whether another upstream may run the call beside this one.
+
+        The attempt in progress counts as executed.
+        """
+        is_idempotent = self.named_route.route.is_idempotent
+        return is_idempotent and self.executions + 1 < self.max_runs
+
     def may_run_again(self) -> bool:
         """Returns whether another upstream may run the call."""
         if self.executions and not self.named_route.route.is_idempotent:
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -75,6 +75,7 @@
             crash_watch,
             self.reach_watch,
             self._evaluate_failure,
+            self._claim_second_run,
         )
 
     async def close(self) -> None:
@@ -264,6 +265,9 @@
 
     def _spend_retry(self, active_call: calls.ActiveCall, now: float) -> None:
         """Takes a retry from the budget if the call was sent before."""
+        if active_call.has_retry:
+            active_call.has_retry = False
+            return
         if active_call.deliveries and not self._budget(
             active_call.service
         ).try_spend(self.vm_count, now):
@@ -271,6 +275,15 @@
                 active_call, "the retry budget is exhausted", 0.5
             )
 
+    def _claim_second_run(self, active_call: calls.ActiveCall) -> bool:
+        """Takes a retry for a call that waits, if another VM may send it."""
+        now = self.now()
+        if not self.relayer.may_help(active_call, now):
+            return False
+        budget = self._budget(active_call.service)
+        active_call.has_retry = budget.try_spend(self.vm_count, now)
+        return active_call.has_retry
+
     def _may_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
         return active_call.may_retry() and self._may_run_again(active_call, now)
 
--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -1,24 +1,39 @@
 """Follows which services this VM reaches, with log lines and counts.
 
-While a service is not reached, a connection to one or two of its upstreams is
-opened again and again. Nothing is sent on it.
+Connections are opened, on which nothing is sent: once in a while when a service
+is silent or a connect failed, and again and again while it is not reached.
+Idempotent calls that wait for an upstream are then abandoned once a connection
+to it times out. A connect that is refused or reset shows that the upstream's
+side answers, so that the connections that are open still carry a reply or end.
 """
 
 import asyncio
+import contextlib
 import random
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Container
 
+from pollenseam import calls
 from pollenseam import connects
 from pollenseam import events
 from pollenseam import metrics
 from pollenseam import reachability
+from pollenseam import steering
 from pollenseam import tasks
+from pollenseam import waits
 
 CONNECT_SECONDS = 0.3
 PROBE_SECONDS = 0.5
 # Upstreams to which a connection is opened at a time.
 PROBE_COUNT = 2
+# More of them at a time if calls wait for their replies.
+MAX_PROBE_COUNT = 16
+# Rounds of connections for one suspicion, and the time between two suspicions
+# for the same reason.
+LOOK_ROUNDS = 2
+SILENCE_LOOK_SECONDS = 2.0
+FAILURE_LOOK_SECONDS = 1.0
 
 Clock = Callable[[], float]
 
@@ -32,6 +47,9 @@
         connects: Counts connects by service and outcome.
         addresses: Returns the addresses of a service's upstreams, by id.
         services: Reach by name of the service.
+        waiting: Calls that wait for a reply, by name of the service.
+        looks_again_at: Time from which a suspicion is followed, by name of the
+            service and reason.
     """
 
     def __init__(
@@ -46,6 +64,8 @@
         self.connects = connect_counter
         self.addresses = addresses
         self.services: dict[str, reachability.ServiceReach] = {}
+        self.waiting: dict[str, set[waits.Wait]] = {}
+        self.looks_again_at: dict[tuple[str, str], float] = {}
         self._tasks = tasks.Group(log)
 
     def close(self) -> None:
@@ -84,6 +104,8 @@
                 replied_seconds_ago=_age(reach.replied_at, now),
             )
             self._tasks.spawn(self._probe(service, reach))
+        else:
+            self._suspect(service, reach, "failure", FAILURE_LOOK_SECONDS)
 
     def record_connected(
         self, service: str, upstream: str, upstream_count: int
@@ -118,47 +140,196 @@
         now = self.now()
         return any(r.is_cut_off(now) for r in self.services.values())
 
-    async def _probe(
+    # Suspicion.
+
+    @contextlib.asynccontextmanager
+    async def watching(
+        self,
+        active_call: calls.ActiveCall,
+        choice: steering.Choice,
+        claim: Callable[[calls.ActiveCall], bool],
+    ) -> AsyncIterator[None]:
+        """Watches a call that is being sent, while the context is entered.
+
+        Args:
+            active_call: The call.
+            choice: The upstream that receives the call.
+            claim: Takes the right to send the call once more; returns whether
+                that is allowed.
+
+        Raises:
+            AbandonedError: This VM lost its way to the upstream.
+        """
+        waiting = self.waiting.setdefault(active_call.service, set())
+        try:
+            async with asyncio.timeout(None) as limit:
+                wait = waits.Wait(active_call, choice, self.now(), limit, claim)
+                waiting.add(wait)
+                self._check_silence(wait)
+                try:
+                    yield
+                finally:
+                    waiting.remove(wait)
+                    wait.end()
+        except TimeoutError:
+            if limit.expired():
+                raise waits.AbandonedError from None
+            raise
+
+    def _check_silence(self, wait: waits.Wait) -> None:
+        """Suspects a silent service now, and checks again later."""
+        service = wait.active_call.service
+        reach = self.reach(service)
+        now = self.now()
+        silent_at = wait.silent_at(reach.replied_at)
+        if now >= silent_at:
+            self._suspect(service, reach, "silence", SILENCE_LOOK_SECONDS)
+            silent_at = now + SILENCE_LOOK_SECONDS
+        wait.timer = asyncio.get_running_loop().call_later(
+            silent_at - now, self._check_silence, wait
+        )
+
+    def _suspect(
+        self,
+        service: str,
+        reach: reachability.ServiceReach,
+        reason: str,
+        pause_seconds: float,
+    ) -> None:
+        """Finds out whether a service is reached, unless just done."""
+        now = self.now()
+        again_at = self.looks_again_at.get((service, reason), 0.0)
+        if reach.is_unreached or now < again_at:
+            return
+        self.looks_again_at[service, reason] = now + pause_seconds
+        self._tasks.spawn(self._look(service, reach))
+
+    async def _look(
         self, service: str, reach: reachability.ServiceReach
     ) -> None:
-        """Opens connections until the service is reached or has no upstream.
+        """Opens connections until one succeeds or the reach is lost."""
+        for _ in range(LOOK_ROUNDS):
+            await self._open_connections(service, reach, PROBE_COUNT)
+            if reach.is_unreached or not reach.failed:
+                return
 
-        Upstreams to which no connect has failed come first.
-        """
+    async def _probe(
+        self, service: str, reach: reachability.ServiceReach
+    ) -> None:
+        """Opens connections until the service is reached or has no upstream."""
         while reach.is_unreached:
-            addresses = self.addresses(service)
-            if not addresses:
+            started_at = self.now()
+            silent = await self._open_connections(
+                service, reach, MAX_PROBE_COUNT
+            )
+            if silent is None:
                 del self.services[service]
                 return
-            ids = random.sample(list(addresses), len(addresses))
-            ids.sort(
-                key=lambda id: (id in reach.failed, id in reach.reconnected)
+            if reach.is_unreached:
+                self._abandon(service, reach, silent, started_at)
+            await asyncio.sleep(PROBE_SECONDS)
+
+    def _abandon(
+        self,
+        service: str,
+        reach: reachability.ServiceReach,
+        silent: set[str],
+        started_at: float,
+    ) -> None:
+        """Abandons calls that wait for upstreams this VM does not reach.
+
+        Args:
+            service: Name of the service.
+            reach: Reach of the service.
+            silent: Upstreams to which connects just timed out.
+            started_at: Time at which these connects began.
+        """
+        if reach.has_live_connections(self.now()):
+            return
+        abandoned = [
+            wait
+            for wait in list(self.waiting.get(service, ()))
+            if wait.upstream in silent
+            and wait.sent_at < started_at
+            and wait.abandon()
+        ]
+        if abandoned:
+            self.log.emit_often(
+                "calls-abandoned",
+                service=service,
+                count=len(abandoned),
+                waiting=len(self.waiting[service]),
+                upstreams=",".join(sorted({w.upstream for w in abandoned})),
+                waited_seconds=self.now() - min(w.sent_at for w in abandoned),
             )
-            await asyncio.gather(
-                *(
-                    self._connect(service, id, addresses[id], len(addresses))
-                    for id in ids[:PROBE_COUNT]
-                )
+
+    # Connections.
+
+    async def _open_connections(
+        self,
+        service: str,
+        reach: reachability.ServiceReach,
+        max_count: int,
+    ) -> set[str] | None:
+        """Opens connections to some upstreams, and closes them.
+
+        Upstreams for which calls wait come first, as far as these may be
+        abandoned; then those to which no connect has failed.
+
+        Args:
+            service: Name of the service.
+            reach: Reach of the service.
+            max_count: Number of upstreams for which calls wait.
+
+        Returns:
+            The upstreams to which it timed out; None if there are no upstreams.
+        """
+        addresses = self.addresses(service)
+        if not addresses:
+            return None
+        waited_for = {
+            wait.upstream
+            for wait in self.waiting.get(service, ())
+            if wait.is_abandonable
+        }
+        ids = random.sample(list(addresses), len(addresses))
+        ids.sort(
+            key=lambda id: (
+                id not in waited_for,
+                id in reach.failed,
+                id in reach.reconnected,
             )
-            await asyncio.sleep(PROBE_SECONDS)
+        )
+        count = max(PROBE_COUNT, min(len(waited_for), max_count))
+        outcomes = await asyncio.gather(
+            *(
+                self._connect(service, id, addresses[id], len(addresses))
+                for id in ids[:count]
+            )
+        )
+        return {
+            id
+            for id, outcome in zip(ids, outcomes, strict=False)
+            if outcome == "timed-out"
+        }
 
     async def _connect(
         self, service: str, upstream: str, address: str, upstream_count: int
-    ) -> None:
+    ) -> str:
+        """Opens a connection and closes it; returns the outcome."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 _, writer = await asyncio.open_connection(host, int(port))
         except (OSError, ValueError) as error:
+            outcome = connects.failure_outcome(error)
             self.record_connect_failed(
-                service,
-                upstream,
-                upstream_count,
-                connects.failure_outcome(error),
+                service, upstream, upstream_count, outcome
             )
-            return
+            return outcome
         writer.close()
         self.record_connected(service, upstream, upstream_count)
+        return "connected"
 
     def gauges(self) -> dict[str, float]:
         """Returns the values of gauges, by name."""
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -87,6 +87,16 @@
             del self.open_calls[address]
             await self.peers.disconnect(address)
 
+    def may_help(self, active_call: calls.ActiveCall, now: float) -> bool:
+        """Returns whether a helper that may send a call is known."""
+        service = active_call.service
+        if self.helpers.is_paused(service, now):
+            return False
+        if len(active_call.call.body) > MAX_BODY_BYTES:
+            return False
+        regions = active_call.regions
+        return self.helpers.choose(service, regions, (), False, now) is not None
+
     async def send(
         self, active_call: calls.ActiveCall
     ) -> relaymessages.RelayResponse | None:
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -25,6 +25,7 @@
 from pollenseam import suspects
 from pollenseam import upstreamstats
 from pollenseam import vm
+from pollenseam import waits
 
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
@@ -54,6 +55,8 @@
         reach_watch: Follows which services this VM reaches.
         evaluate_failure: Returns the reply of a call whose last attempt got a
             5xx status, or None if the call may be sent again.
+        claim_second_run: Takes a retry for a call that waits for a reply;
+            returns whether the call may be sent once more.
         session: HTTP client session for all upstreams.
     """
 
@@ -67,6 +70,7 @@
         crash_watch: crashwatch.CrashWatch,
         reach_watch: reachwatch.ReachWatch,
         evaluate_failure: Callable[[calls.ActiveCall], calls.Reply | None],
+        claim_second_run: Callable[[calls.ActiveCall], bool],
     ) -> None:
         self.protocol = protocol
         self.log = log
@@ -78,6 +82,7 @@
         self.crash_watch = crash_watch
         self.reach_watch = reach_watch
         self.evaluate_failure = evaluate_failure
+        self.claim_second_run = claim_second_run
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS, connects.trace_config()
         )
@@ -106,7 +111,10 @@
             async with asyncio.timeout_at(
                 vm.loop_deadline(active_call.deadline)
             ):
-                response = await self._send_request(active_call, upstream)
+                async with self.reach_watch.watching(
+                    active_call, choice, self.claim_second_run
+                ):
+                    response = await self._send_request(active_call, upstream)
                 return await self._read_reply(
                     active_call, choice, response, started
                 )
@@ -129,6 +137,16 @@
                 errors.Kind.NO_ROOM, "the upstream is unreachable", "no"
             )
             return None
+        except waits.AbandonedError:
+            upstream.record_unreachable(self.now())
+            self.attempt_log.record_unknown(
+                active_call,
+                upstream,
+                "abandoned",
+                started,
+                "this VM lost its way to the upstreams",
+            )
+            return None
         except TimeoutError:
             self._record_timeout(upstream, response is not None)
             self.attempt_log.record_attempt(
--- a/tests/cuts.py
+++ b/tests/cuts.py
@@ -198,3 +198,13 @@
 
 async def is_served(cluster, entry_index):
     return (await cluster.request(entry_index=entry_index))[0] == 200
+
+
+def runs_by_id(cluster):
+    """Returns how often each request was run, by its id."""
+    counts = {}
+    for server in cluster.servers:
+        for _, _, headers in server.received_requests:
+            id = headers["X-Request-Id"]
+            counts[id] = counts.get(id, 0) + 1
+    return counts
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -102,3 +102,38 @@
             assert response.status == 200
         cluster.heal(0)
         await cluster.wait_until(names_both)
+
+
+async def test_calls_that_wait_when_the_way_is_lost_are_sent_through_a_helper(
+    tmp_path,
+):
+    """Guards against calls that wait on silent connections: 504 for all.
+
+    What must not be repeated may have run, and goes on waiting.
+    """
+    async with cuts.running_cluster(tmp_path) as cluster:
+        await cluster.patch(2, timeout_s=3.0)
+        await count_first_tries(cluster, 0, 1.0)
+        for server in cluster.servers:
+            server.delay_seconds = 0.5
+        statuses = {}
+
+        async def send(method, path, number):
+            id = f"{method}-{number}"
+            headers = {"X-Request-Id": id, "Cookie": f"X-Affinity-Key={number}"}
+            statuses[id], _, _ = await cluster.request(
+                path, method=method, headers=headers
+            )
+
+        calls = [send("GET", "/a/1", n) for n in range(4)]
+        calls += [send("POST", "/b/1", n) for n in range(2)]
+        tasks = [asyncio.create_task(call) for call in calls]
+        await asyncio.sleep(0.2)
+        cluster.cut(0, "hang", "hang")
+        await asyncio.gather(*tasks)
+        assert statuses == {
+            **{f"GET-{n}": 200 for n in range(4)},
+            **{f"POST-{n}": 504 for n in range(2)},
+        }
+        runs = cuts.runs_by_id(cluster)
+        assert [runs[id] for id in sorted(statuses)] == [2, 2, 2, 2, 1, 1]
--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -127,16 +127,6 @@
         await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
 
 
-def runs_by_id(cluster):
-    """Returns how often each request was run, by its id."""
-    counts = {}
-    for server in cluster.servers:
-        for _, _, headers in server.received_requests:
-            id = headers["X-Request-Id"]
-            counts[id] = counts.get(id, 0) + 1
-    return counts
-
-
 @pytest.mark.parametrize("trouble", ["killed", "frozen", "cut", "stopped"])
 async def test_a_call_whose_helper_fails_runs_once_and_is_not_denied(
     tmp_path, trouble
@@ -166,7 +156,7 @@
         tasks = [asyncio.create_task(send(n)) for n in range(8)]
 
         async def are_running():
-            return sum(runs_by_id(cluster).values()) >= 4
+            return sum(cuts.runs_by_id(cluster).values()) >= 4
 
         await cluster.wait_until(are_running)
         helper = cluster.entry_vms[1]
@@ -181,7 +171,7 @@
         await asyncio.gather(*tasks)
         if trouble == "frozen":
             helper.process.send_signal(signal.SIGCONT)
-        runs = runs_by_id(cluster)
+        runs = cuts.runs_by_id(cluster)
         assert max(runs.values()) == 1
         denied = [id for id, status in answers.items() if status == 503]
         assert [id for id in denied if id in runs] == []
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -213,6 +213,27 @@
         assert helper.received[1].tried == ["i9"]
 
 
+@pytest.mark.parametrize(
+    ("retry_slack", "helper_count", "is_claimed"),
+    [(100.0, 1, True), (0.0, 1, False), (100.0, 0, False)],
+)
+async def test_a_call_that_waits_is_sent_again_only_with_retry_and_helper(
+    retry_slack, helper_count, is_claimed
+):
+    """Guards against calls that are given up with no way to go on."""
+    answers = [answering(replied(200))] * helper_count
+    async with cut_off_vm(*answers, retry_slack=retry_slack) as (entry_vm, _):
+        dispatcher = entry_vm.dispatcher
+        active_call = entry_vm._admit(test_rogue_upstreams.make_call(entry_vm))
+        active_call.deliveries = 1
+        assert dispatcher._claim_second_run(active_call) == is_claimed
+        spent = dispatcher._budget("s1").retry_counts.total()
+        assert spent == is_claimed
+        if is_claimed:
+            dispatcher._spend_retry(active_call, entry_vm.now())
+            assert dispatcher._budget("s1").retry_counts.total() == 1
+
+
 async def test_a_caller_that_leaves_ends_the_relayed_call():
     """Guards against upstreams that work for callers who are gone."""
     async with cut_off_vm(never_answers) as (entry_vm, [helper]):
