--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -9,6 +9,7 @@
 from pollenseam import events
 from pollenseam import metrics
 from pollenseam import relaying
+from pollenseam import relayoutcomes
 from pollenseam import retries
 from pollenseam import sending
 from pollenseam import statedlimits
@@ -183,7 +184,7 @@
         except relaying.NoHelpError as error:
             return self._go_on_alone(active_call, error)
         try:
-            reply = relaying.apply(active_call, response)
+            reply = relayoutcomes.apply(active_call, response)
         except errors.RefusedError:
             if active_call.reply is None:
                 raise
