--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -180,7 +180,9 @@
                 deadline.
         """
         try:
-            response = await self.relayer.send(active_call)
+            response = await self.relayer.send(
+                active_call, self._claim_second_run
+            )
         except relaying.NoHelpError as error:
             return self._go_on_alone(active_call, error)
         try:
--- a/src/pollenseam/helpers.py
+++ b/src/pollenseam/helpers.py
@@ -10,6 +10,8 @@
 BROKEN_SECONDS = 1.0
 NOT_REACHED_SECONDS = 1.0
 NO_CAPACITY_SECONDS = 0.3
+# Calls of this VM that one helper may have at a time: half of what it lends.
+MAX_HELD_CALLS = 24
 # After a call for which no helper reached the service, no helper is asked for
 # this long, doubled up to the maximum as long as none does.
 MIN_PAUSE_SECONDS = 0.5
@@ -100,6 +102,8 @@
     ) -> bool:
         if not entry.is_serving or entry.is_cut_off or not entry.relay_port:
             return False
+        if self.in_flight.get(entry.name, 0) >= MAX_HELD_CALLS:
+            return False
         avoided = self.avoided_until
         return (
             avoided.get((entry.name, ""), 0.0) <= now
--- a/src/pollenseam/relayhelper.py
+++ b/src/pollenseam/relayhelper.py
@@ -68,6 +68,7 @@
         if not port:
             return
         self.server.handle(relaymessages.RELAY, self.handle)
+        self.server.handle(relaymessages.CHECK, self.handle_check)
         try:
             await self.server.start(f"{host}:{port}")
         except errors.FlagError as error:
@@ -91,6 +92,10 @@
         with self._lend(len(message.body)):
             return await self._deliver(active_call)
 
+    async def handle_check(self, message: peers.Empty) -> peers.Empty:
+        """Gives another entry VM a sign of life."""
+        return peers.Empty()
+
     def _can_lend(self, message: relaymessages.RelayedCall) -> bool:
         deadline = self.now() + message.left_ms / 1000
         return (
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -5,14 +5,18 @@
 the deadline and the answer.
 """
 
+import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 from pollenseam import calls
 from pollenseam import controlmessages
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import helpers
+from pollenseam import helperwatch
 from pollenseam import metrics
 from pollenseam import peers
 from pollenseam import reachwatch
@@ -32,6 +36,13 @@
 NOT_RECEIVED = ("unimplemented", "invalid_argument")
 
 
+Claim = Callable[[calls.ActiveCall], bool]
+
+
+class SilentError(errors.PollenseamError):
+    """A helper answers nothing; the call may have been executed."""
+
+
 class NoHelpError(errors.PollenseamError):
     """No helper can send the call; it was not executed.
 
@@ -53,6 +64,7 @@
         now: Returns the time since boot in seconds.
         peers: Client for calls to other VMs.
         helpers: The entry VMs that may help.
+        helper_watch: Finds out which of them are silent.
         reach_watch: Follows which services this VM reaches.
         relays: Counts calls given to helpers, by service and outcome.
         used_at: Time of the last use of a connection, by helper's address.
@@ -72,6 +84,7 @@
         self.now = now
         self.peers = peer_client
         self.helpers = known_helpers
+        self.helper_watch = helperwatch.HelperWatch(peer_client, now)
         self.reach_watch = reach_watch
         self.relays = relays
         self.used_at: dict[str, float] = {}
@@ -98,10 +111,15 @@
         return self.helpers.choose(service, regions, (), False, now) is not None
 
     async def send(
-        self, active_call: calls.ActiveCall
+        self, active_call: calls.ActiveCall, claim: Claim
     ) -> relaymessages.RelayResponse | None:
         """Has a call sent to one upstream by a helper.
 
+        Args:
+            active_call: The call.
+            claim: Takes the right to send the call once more; returns whether
+                that is allowed.
+
         Returns:
             The helper's response, or None if the call may have been executed
             and its outcome is unknown.
@@ -128,7 +146,7 @@
             if helper is None:
                 break
             asked.add(helper.name)
-            response = await self._ask(active_call, helper)
+            response = await self._ask(active_call, helper, claim)
             if response is None:
                 return None
             if response.outcome not in relaymessages.NOT_SENT_OUTCOMES:
@@ -151,7 +169,10 @@
         self.reach_watch.reach(service).record_help(self.now())
 
     async def _ask(
-        self, active_call: calls.ActiveCall, helper: controlmessages.EntryVm
+        self,
+        active_call: calls.ActiveCall,
+        helper: controlmessages.EntryVm,
+        claim: Claim,
     ) -> relaymessages.RelayResponse | None:
         """Gives a call to one helper.
 
@@ -167,8 +188,13 @@
         self.helpers.begin(helper.name)
         outcome = "cancelled"
         try:
-            response = await self._call(active_call, helper, left_seconds)
+            response = await self._call(
+                active_call, helper, left_seconds, claim
+            )
             outcome = "broken" if response is None else response.outcome
+        except SilentError:
+            outcome = "silent"
+            return None
         except errors.RefusedError:
             outcome = "no-answer-in-time"
             raise
@@ -185,6 +211,7 @@
         active_call: calls.ActiveCall,
         helper: controlmessages.EntryVm,
         left_seconds: float,
+        claim: Claim,
     ) -> relaymessages.RelayResponse | None:
         address = helper.relay_address
         if not await self.peers.connect(
@@ -205,9 +232,15 @@
             left_seconds=left_seconds,
         )
         request = relaymessages.from_active_call(active_call, left_seconds)
+        started_at = self.now()
         try:
-            response: relaymessages.RelayResponse = await self.peers.call(
-                address, relaymessages.RELAY, request, left_seconds
+            response = await self._wait(
+                active_call,
+                helper,
+                claim,
+                self.peers.call(
+                    address, relaymessages.RELAY, request, left_seconds
+                ),
             )
         except errors.UnreachableError as error:
             if error.outcome in NOT_RECEIVED:
@@ -219,8 +252,55 @@
                     "unknown",
                 ) from error
             return None
+        self.helper_watch.record_heard(helper.name)
+        if response.outcome == relaymessages.REPLIED:
+            self.helper_watch.record_reply(
+                active_call.named_route.name, self.now() - started_at
+            )
         return response
 
+    async def _wait(
+        self,
+        active_call: calls.ActiveCall,
+        helper: controlmessages.EntryVm,
+        claim: Claim,
+        exchange: Coroutine[Any, Any, relaymessages.RelayResponse],
+    ) -> relaymessages.RelayResponse:
+        """Returns a helper's response.
+
+        Raises:
+            SilentError: The helper answers nothing, and the call may be sent
+                once more.
+            UnreachableError: There is no valid response.
+        """
+        route = active_call.named_route.name
+        response = asyncio.create_task(exchange)
+        try:
+            while not response.done():
+                patience_seconds = self.helper_watch.patience_seconds(route)
+                await asyncio.wait({response}, timeout=patience_seconds)
+                if response.done() or not await self._is_silent(helper):
+                    continue
+                if active_call.may_run_twice() and claim(active_call):
+                    raise SilentError
+            return response.result()
+        finally:
+            response.cancel()
+
+    async def _is_silent(self, helper: controlmessages.EntryVm) -> bool:
+        """Returns whether a helper answers nothing, and avoids it then."""
+        if not await self.helper_watch.is_silent(helper):
+            return False
+        now = self.now()
+        if not self.helpers.is_avoided(helper.name, now):
+            self.log.emit_often(
+                "helper-silent",
+                helper=helper.name,
+                in_flight=self.helpers.in_flight.get(helper.name, 0),
+            )
+        self.helpers.avoid(helper.name, helpers.BROKEN_SECONDS, now)
+        return True
+
     def _learn(self, service: str, name: str, outcome: str) -> None:
         """Remembers what the outcome of a call says about its helper."""
         now = self.now()
--- a/src/pollenseam/relaymessages.py
+++ b/src/pollenseam/relaymessages.py
@@ -124,6 +124,8 @@
 
 
 RELAY = peers.Method("Relay", RelayedCall, RelayResponse)
+# Asks a helper for a sign of life.
+CHECK = peers.Method("RelayCheck", peers.Empty, peers.Empty)
 
 
 def _to_bytes(text: str) -> bytes:
--- a/src/pollenseam/relayoutcomes.py
+++ b/src/pollenseam/relayoutcomes.py
@@ -22,7 +22,7 @@
         RefusedError: The call was refused.
     """
     if response is None:
-        _record_unknown(active_call, "the connection to another VM broke")
+        _record_unknown(active_call, "another VM gave no answer")
         return None
     if response.upstream:
         active_call.tried.add(response.upstream)
--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -179,6 +179,29 @@
             assert {answers[id] for id in runs} == {200}
 
 
+async def test_idempotent_calls_leave_a_frozen_helper(tmp_path):
+    """Guards against a helper that holds what it has until the deadline."""
+    async with cuts.running_cluster(tmp_path) as cluster:
+        cluster.cut(0, "refuse", "reset")
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+        for server in cluster.servers:
+            server.received_requests.clear()
+            server.delay_seconds = 0.3
+        tasks = [asyncio.create_task(cluster.request()) for _ in range(6)]
+
+        async def are_running():
+            return sum(cuts.runs_by_id(cluster).values()) >= 6
+
+        await cluster.wait_until(are_running)
+        # VM 1 is in the region of VM 0, VM 2 is not.
+        helper = cluster.entry_vms[1]
+        helper.process.send_signal(signal.SIGSTOP)
+        statuses = [status for status, _, _ in await asyncio.gather(*tasks)]
+        helper.process.send_signal(signal.SIGCONT)
+        assert statuses == [200] * 6
+        assert max(cuts.runs_by_id(cluster).values()) <= 2
+
+
 async def test_a_relayed_request_keeps_its_id_its_time_and_its_headers(
     tmp_path,
 ):
--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -73,6 +73,18 @@
     assert known.in_flight == {}
 
 
+def test_a_helper_holds_a_bounded_number_of_calls():
+    """Guards against a frozen helper that takes all calls with it."""
+    known = make_helpers(entry("near"), entry("far", "r2"))
+    names = [choose(known, is_last=n % 2) for n in range(2)]
+    assert names == ["near", "far"]
+    for _ in range(helpers.MAX_HELD_CALLS):
+        known.begin("near")
+    assert choose(known) == "far"
+    known.end("near")
+    assert choose(known) == "near"
+
+
 def test_a_helper_is_avoided_for_one_service_or_for_all():
     known = make_helpers(entry("near"))
     known.avoid("near", 1.0, 0.0, "s2")
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -11,6 +11,7 @@
 from pollenseam import controlmessages
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import helperwatch
 from pollenseam import peers
 from pollenseam import relayhelper
 from pollenseam import relaying
@@ -37,20 +38,28 @@
         answer: Answers one call.
         received: Calls received.
         cancelled: Number of calls that were cancelled.
+        is_frozen: Whether it gives no sign of life either.
     """
 
     def __init__(self, answer):
         self.answer = answer
         self.received = []
         self.cancelled = 0
+        self.is_frozen = False
         self.server = peers.Server(events.LogicalClock(), traffic.Traffic())
 
     async def start(self):
         port = fleet.free_port()
         self.port = port
         self.server.handle(relaymessages.RELAY, self.handle)
+        self.server.handle(relaymessages.CHECK, self.handle_check)
         await self.server.start(f"127.0.0.1:{port}")
 
+    async def handle_check(self, message):
+        if self.is_frozen:
+            await asyncio.sleep(60)
+        return peers.Empty()
+
     async def handle(self, message):
         self.received.append(message)
         try:
@@ -194,6 +203,58 @@
             assert sends == 1 + is_idempotent
 
 
+@pytest.mark.parametrize(
+    ("is_frozen", "is_idempotent", "retry_slack", "is_served"),
+    [
+        (True, True, 100.0, True),
+        (True, True, 0.0, False),
+        (True, False, 100.0, False),
+        (False, True, 100.0, False),
+    ],
+)
+async def test_only_idempotent_calls_leave_a_helper_and_only_a_frozen_one(
+    is_frozen, is_idempotent, retry_slack, is_served
+):
+    """Guards against calls that a frozen helper holds until their deadline.
+
+    A helper that is alive may wait for a slow upstream.
+    """
+    async with cut_off_vm(
+        never_answers,
+        answering(replied(200)),
+        is_idempotent=is_idempotent,
+        retry_slack=retry_slack,
+    ) as (entry_vm, [first, second]):
+        entry_vm.table.find_route("h", "/a/1").route.max_attempts = 2
+        entry_vm.relayer.helpers.entries["h1"].region = "r2"
+        first.is_frozen = is_frozen
+        answer = await serve(entry_vm, seconds=2.0)
+        assert len(first.received) == 1
+        assert len(second.received) == is_served
+        if is_served:
+            assert answer.status == 200
+            while not first.cancelled:
+                await asyncio.sleep(0.01)
+        else:
+            assert (answer.kind, answer.executed) == (
+                errors.Kind.DEADLINE,
+                "unknown",
+            )
+        avoided = entry_vm.relayer.helpers.is_avoided("h0", entry_vm.now())
+        assert avoided == is_frozen or not is_served
+
+
+def test_the_patience_with_a_route_follows_the_time_it_takes():
+    """Guards against a fixed time, too short or too long for some route."""
+    watch = helperwatch.HelperWatch(None, lambda: 0.0)
+    assert watch.patience_seconds("r") == helperwatch.FIRST_PATIENCE_SECONDS
+    for seconds in [1.0, 1.2, 0.8] * 20:
+        watch.record_reply("r", seconds)
+        watch.record_reply("quick", seconds / 100)
+    assert 1.2 < watch.patience_seconds("r") < 2.5
+    assert watch.patience_seconds("quick") == helperwatch.MIN_PATIENCE_SECONDS
+
+
 async def test_a_second_send_takes_from_the_one_retry_budget():
     """Guards against helpers that retry beyond the budget of the fleet."""
     shed = answering(
