RECOVER: a test that fails, listed: an odd address of an upstream ends entry VMs

ReachWatch._connect catches OSError and ValueError; a port out of range is an OverflowError (ArithmeticError), the probe's task fails and tasks.Group ends the process with 70. Sender is not affected: yarl refuses such a URL with a ValueError.

--- a/tests/test_reachwatch.py
+++ b/tests/test_reachwatch.py
@@ -53,3 +53,15 @@
     watch.known.clear()
     await asyncio.sleep(0.3)
     assert exits == []
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:-1"])
+async def test_an_address_that_is_none_does_not_end_the_process(
+    watch, exits, address
+):
+    """Guards against an odd record of an upstream that ends all entry VMs."""
+    watch.known["i3"] = address
+    lose(watch)
+    await asyncio.sleep(0.3)
+    assert exits == []
+    assert watch.reach("s1").is_unreached
