--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -258,6 +258,25 @@
         assert not entry_vm.own_record.is_cut_off
 
 
+async def test_a_call_whose_time_is_over_takes_no_helper_from_the_others():
+    """Guards against 503 for all because one upstream was slow for one call.
+
+    The helper answers other calls all the while.
+    """
+
+    async def skips_the_first(helper):
+        if len(helper.received) == 1:
+            await never_answers(helper)
+        return replied(200)
+
+    async with cut_off_vm(skips_the_first) as (entry_vm, _):
+        slow = asyncio.create_task(serve(entry_vm, seconds=0.4))
+        await asyncio.sleep(0.2)
+        assert (await serve(entry_vm)).status == 200
+        assert (await slow).kind == errors.Kind.DEADLINE
+        assert (await serve(entry_vm)).status == 200
+
+
 # The helper.
 
 
