--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -277,6 +277,14 @@
         assert (await serve(entry_vm)).status == 200
 
 
+async def test_a_call_without_time_takes_no_helper_from_the_others():
+    """Guards against a helper that counts as out of reach as nobody waited."""
+    async with cut_off_vm(answering(replied(200))) as (entry_vm, _):
+        entry_vm.reach_watch.record_connect_failed("s1", "i1", 1, "refused")
+        assert (await serve(entry_vm, seconds=0.001)).executed == "no"
+        assert (await serve(entry_vm)).status == 200
+
+
 # The helper.
 
 
