--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -11,6 +11,7 @@
 from pollenseam import controlmessages
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import helpers
 from pollenseam import peers
 from pollenseam import relayhelper
 from pollenseam import relaying
@@ -285,6 +286,21 @@
         assert (await serve(entry_vm)).status == 200
 
 
+async def test_a_service_pauses_only_if_all_helpers_say_they_do_not_reach_it():
+    """Guards against 503 for up to 4 s while a helper that serves is at hand.
+
+    One helper does not reach the service, the other has no capacity for 0.3 s.
+    """
+    down = answering(relaymessages.RelayResponse("not-reached"))
+    async with cut_off_vm(down, answering(replied(200))) as (entry_vm, _):
+        known = entry_vm.relayer.helpers
+        known.avoid("h1", helpers.NO_CAPACITY_SECONDS, entry_vm.now())
+        assert (await serve(entry_vm)).executed == "no"
+        while known.is_avoided("h1", entry_vm.now()):
+            await asyncio.sleep(0.01)
+        assert (await serve(entry_vm)).status == 200
+
+
 # The helper.
 
 
