--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -11,6 +11,7 @@
 from pollenseam import controlmessages
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import helpers
 from pollenseam import helperwatch
 from pollenseam import peers
 from pollenseam import relayhelper
@@ -340,6 +341,48 @@
         assert not entry_vm.own_record.is_cut_off
 
 
+async def test_a_call_whose_time_is_over_takes_no_helper_from_the_others():
+    """Guards against 503 for all because one upstream was slow for one call.
+
+    The helper answers other calls all the while.
+    """
+
+    async def skips_the_first(helper):
+        if len(helper.received) == 1:
+            await never_answers(helper)
+        return replied(200)
+
+    async with cut_off_vm(skips_the_first) as (entry_vm, _):
+        slow = asyncio.create_task(serve(entry_vm, seconds=0.4))
+        await asyncio.sleep(0.2)
+        assert (await serve(entry_vm)).status == 200
+        assert (await slow).kind == errors.Kind.DEADLINE
+        assert (await serve(entry_vm)).status == 200
+
+
+async def test_a_call_without_time_takes_no_helper_from_the_others():
+    """Guards against a helper that counts as out of reach as nobody waited."""
+    async with cut_off_vm(answering(replied(200))) as (entry_vm, _):
+        entry_vm.reach_watch.record_connect_failed("s1", "i1", 1, "refused")
+        assert (await serve(entry_vm, seconds=0.001)).executed == "no"
+        assert (await serve(entry_vm)).status == 200
+
+
+async def test_a_service_pauses_only_if_all_helpers_say_they_do_not_reach_it():
+    """Guards against 503 for up to 4 s while a helper that serves is at hand.
+
+    One helper does not reach the service, the other has no capacity for 0.3 s.
+    """
+    down = answering(relaymessages.RelayResponse("not-reached"))
+    async with cut_off_vm(down, answering(replied(200))) as (entry_vm, _):
+        known = entry_vm.relayer.helpers
+        known.avoid("h1", helpers.NO_CAPACITY_SECONDS, entry_vm.now())
+        assert (await serve(entry_vm)).executed == "no"
+        while known.is_avoided("h1", entry_vm.now()):
+            await asyncio.sleep(0.01)
+        assert (await serve(entry_vm)).status == 200
+
+
 # The helper.
 
 
