--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -279,7 +279,7 @@
             while not response.done():
                 patience_seconds = self.helper_watch.patience_seconds(route)
                 await asyncio.wait({response}, timeout=patience_seconds)
-                if response.done() or not await self._is_silent(helper):
+                if not await self._is_silent(helper, response):
                     continue
                 if active_call.may_run_twice() and claim(active_call):
                     raise SilentError
@@ -287,10 +287,22 @@
         finally:
             response.cancel()
 
-    async def _is_silent(self, helper: controlmessages.EntryVm) -> bool:
-        """Returns whether a helper answers nothing, and avoids it then."""
-        if not await self.helper_watch.is_silent(helper):
-            return False
+    async def _is_silent(
+        self, helper: controlmessages.EntryVm, response: asyncio.Task[Any]
+    ) -> bool:
+        """Returns whether a helper answers nothing, and avoids it then.
+
+        Ends with the response at the latest.
+        """
+        check = asyncio.create_task(self.helper_watch.is_silent(helper))
+        try:
+            await asyncio.wait(
+                {response, check}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if response.done() or not check.result():
+                return False
+        finally:
+            check.cancel()
         now = self.now()
         if not self.helpers.is_avoided(helper.name, now):
             self.log.emit_often(
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -245,6 +245,16 @@
         assert avoided == is_frozen or not is_served
 
 
+async def test_a_check_of_a_helper_holds_no_call_beyond_its_time(monkeypatch):
+    """Guards against calls that end late while their helper is asked."""
+    monkeypatch.setattr(helperwatch, "CHECK_SECONDS", 5.0)
+    async with cut_off_vm(never_answers) as (entry_vm, [helper]):
+        helper.is_frozen = True
+        deadline = entry_vm.now() + 1.0
+        assert (await serve(entry_vm, 1.0)).kind == errors.Kind.DEADLINE
+        assert entry_vm.now() <= deadline + 0.5
+
+
 def test_the_patience_with_a_route_follows_the_time_it_takes():
     """Guards against a fixed time, too short or too long for some route."""
     watch = helperwatch.HelperWatch(None, lambda: 0.0)
