RECOVER: upstreams that are left are used where no VM reaches the others

What callers saw: with most upstreams of a service out of reach for all VMs (crashed, or cut and still announced), 503 at once, although the others accept connections; before the relays they were served.

One failed connect undid what all others had accepted since, and up to four had to accept, more than were left.

A failed connect takes back its own upstream's accept only, and no more must accept than those whose last connect did not fail.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -8,6 +8,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
+from pollenseam import reachability
 from pollenseam import relaying
 from pollenseam import relayoutcomes
 from pollenseam import retries
@@ -201,7 +202,7 @@
             return active_call.reply
         active_call.is_helpless = True
         reach = self.reach_watch.reach(active_call.service)
-        if not reach.is_unreached:
+        if not reach.is_unreached or self._has_way(active_call, reach):
             return None
         raise self._final_refusal(
             active_call,
@@ -209,6 +210,19 @@
             NO_UPSTREAM_SECONDS if error.is_unreached else ELSEWHERE_SECONDS,
         )
 
+    def _has_way(
+        self,
+        active_call: calls.ActiveCall,
+        reach: reachability.ServiceReach,
+    ) -> bool:
+        """Returns whether an upstream may be left that this VM reaches."""
+        now = self.now()
+        return any(
+            reach.may_accept(id) and upstream.suspect_until <= now
+            for id, upstream in active_call.pool.upstreams.items()
+            if id not in active_call.tried
+        )
+
     async def _send(
         self, active_call: calls.ActiveCall, choice: steering.Choice
     ) -> calls.Reply | None:
--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -37,8 +37,8 @@
     Attributes:
         failed: Time of the last failed connect, by upstream, since the last
             successful connect to any upstream of the service.
-        reconnected: Upstreams that accepted a connection while the service
-            was unreached, since the last failed connect.
+        reconnected: Upstreams whose last connect succeeded while the service
+            was unreached.
         returns: Times at which the service was reached again.
         latest: Whether the last connect succeeded, by upstream.
         failing_since: Time of the first of the `failed` connects, or None.
@@ -86,6 +86,10 @@
         """Number of upstreams to which the last connect failed."""
         return sum(not succeeded for succeeded in self.latest.values())
 
+    def may_accept(self, upstream: str) -> bool:
+        """Returns whether the last connect to an upstream did not fail."""
+        return self.latest.get(upstream, True)
+
     def record_connect_failed(
         self, upstream: str, upstream_count: int, now: float
     ) -> bool:
@@ -97,7 +101,7 @@
             now: Time in seconds.
         """
         self.latest[upstream] = False
-        self.reconnected.clear()
+        self.reconnected.discard(upstream)
         self._drop_old(now)
         self.failed[upstream] = now
         if self.failing_since is None:
@@ -133,7 +137,9 @@
         self.connected_at = now
         if self.is_unreached:
             self.reconnected.add(upstream)
-            required = min(self._return_count(now), upstream_count)
+            # Those that accept no connection now may have ended.
+            open_count = upstream_count - self.failing_count
+            required = min(self._return_count(now), max(1, open_count))
             if len(self.reconnected) < required:
                 return False
             self.returns.append(now)
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -238,11 +238,12 @@
         """Records the connection that a call gets to an upstream.
 
         Raises:
-            PreventedError: This VM reaches no upstream, so that a connection
-                would only cost time.
+            PreventedError: This VM seems to reach no upstream, and another one
+                may send the call.
         """
         if kind == connects.OPENING:
-            if self.reach_watch.reach(active_call.service).is_unreached:
+            reach = self.reach_watch.reach(active_call.service)
+            if reach.is_unreached and not active_call.is_helpless:
                 raise connects.PreventedError
             return
         active_call.connection = kind
--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -264,6 +264,23 @@
             server.delay_seconds = 0.0
 
 
+@pytest.mark.parametrize("connects", ["refuse", "hang"])
+async def test_upstreams_that_are_left_serve_where_most_are_cut_from_all_vms(
+    tmp_path, connects
+):
+    """Guards against VMs that take upstreams' cut for their own, all of them.
+
+    They asked each other, who said the same, and refused all.
+    """
+    async with cuts.running_cluster(tmp_path, server_count=12) as cluster:
+        await served_ratios(cluster, range(3), 1.0)
+        for n in range(3):
+            cluster.cut(n, connects, "reset", cluster.servers[:10])
+        await served_ratios(cluster, range(3), test_cut_off.CONTACT_SECONDS)
+        ratios = await served_ratios(cluster, range(3), 4.0)
+        assert min(ratios) >= 0.9
+
+
 async def test_a_cut_of_one_service_leaves_the_other_alone(tmp_path):
     """Guards against a VM that judges itself as a whole."""
     async with cuts.running_cluster(tmp_path, entry_count=2) as cluster:
