RECOVER: a flapping service that ends does not end the entry VM

An entry VM ends (exit 70) when a service that was lost, reached and lost within half a second loses its last upstream, and all VMs see the same upstreams go.

Cause: each loss starts a probe, and the probe of the loss before was still asleep; the second of the two deletes an entry that the first has deleted. Change: a probe ends once its loss is over, also if the service was lost again meanwhile, and a missing entry is no error. So there is one probe of a service, and none stays on an entry that nothing mends.

test_a_service_that_flaps_and_then_ends_does_not_end_the_process failed before (KeyError, exits [70]); passes three times of three.

--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -103,7 +103,7 @@
                 connected_seconds_ago=_age(reach.connected_at, now),
                 replied_seconds_ago=_age(reach.replied_at, now),
             )
-            self._tasks.spawn(self._probe(service, reach))
+            self._tasks.spawn(self._probe(service, reach, now))
         else:
             self._suspect(service, reach, "failure", FAILURE_LOOK_SECONDS)
 
@@ -214,16 +214,20 @@
                 return
 
     async def _probe(
-        self, service: str, reach: reachability.ServiceReach
+        self, service: str, reach: reachability.ServiceReach, lost_at: float
     ) -> None:
-        """Opens connections until the service is reached or has no upstream."""
-        while reach.is_unreached:
+        """Opens connections until the service is reached or has no upstream.
+
+        Ends also when the service was reached and is lost once more, which has
+        a probe of its own.
+        """
+        while reach.unreached_since == lost_at:
             started_at = self.now()
             silent = await self._open_connections(
                 service, reach, MAX_PROBE_COUNT
             )
             if silent is None:
-                del self.services[service]
+                self.services.pop(service, None)
                 return
             if reach.is_unreached:
                 self._abandon(service, reach, silent, started_at)
