RECOVER: an odd address of an upstream does not end entry VMs

What callers saw: nothing yet; shown by the review. An upstream whose record has a port out of range ends (exit 70) each entry VM that probes it while its service is unreached.

Cause: the probe caught OSError and ValueError; such a port raises an OverflowError, and a failed task ends the process. Change: whatever a probe raises is a failed connect, with a line `probe-failed` if it is neither a time-out, a refusal nor a reset. Checked: crashwatch probes an upstream only after a connection to it broke, so it has an address.

test_an_address_that_is_none_does_not_end_the_process failed before for both ports (exits [70, 70]).

--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -325,8 +325,17 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, ValueError) as error:
+        except Exception as error:
+            # The record of an upstream may have an address that is none, which
+            # raises other errors than a connection does.
             outcome = connects.failure_outcome(error)
+            if outcome == "failed":
+                self.log.emit_often(
+                    "probe-failed",
+                    service=service,
+                    upstream=upstream,
+                    why=repr(error),
+                )
             self.record_connect_failed(
                 service, upstream, upstream_count, outcome
             )
