--- a/src/pollenseam/helperwatch.py
+++ b/src/pollenseam/helperwatch.py
@@ -47,16 +47,21 @@
     Attributes:
         peers: Client for calls to helpers.
         now: Returns the time since boot in seconds.
+        on_silent: Called with each helper that gave no sign of life.
         heard_at: Time of the last answer, by helper's name.
         durations: Times to replies through helpers, by name of the route.
         checks: Checks in progress, by helper's name.
     """
 
     def __init__(
-        self, peer_client: peers.Client, now: Callable[[], float]
+        self,
+        peer_client: peers.Client,
+        now: Callable[[], float],
+        on_silent: Callable[[controlmessages.EntryVm], None],
     ) -> None:
         self.peers = peer_client
         self.now = now
+        self.on_silent = on_silent
         self.heard_at: dict[str, float] = {}
         self.durations: dict[str, Durations] = {}
         self.checks: dict[str, asyncio.Task[bool]] = {}
@@ -108,6 +113,7 @@
             )
         except errors.UnreachableError as error:
             if error.outcome == "deadline_exceeded":
+                self.on_silent(helper)
                 return True
         self.record_heard(helper.name)
         return False
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -25,6 +25,8 @@
 CONNECT_SECONDS = 0.3
 # Helpers that are asked for one attempt.
 MAX_ASKED = 3
+# Least time after which a helper is asked for a sign of life.
+MIN_PATIENCE_SECONDS = 0.1
 # Body above which a call is not given to a helper.
 MAX_BODY_BYTES = 1024 * 1024
 # A connection to a helper is closed when it was not used for this long.
@@ -84,7 +86,9 @@
         self.now = now
         self.peers = peer_client
         self.helpers = known_helpers
-        self.helper_watch = helperwatch.HelperWatch(peer_client, now)
+        self.helper_watch = helperwatch.HelperWatch(
+            peer_client, now, self._record_silent
+        )
         self.reach_watch = reach_watch
         self.relays = relays
         self.used_at: dict[str, float] = {}
@@ -277,7 +281,12 @@
         response = asyncio.create_task(exchange)
         try:
             while not response.done():
-                patience_seconds = self.helper_watch.patience_seconds(route)
+                # A frozen helper is found out before the call's time is over.
+                half_seconds = (active_call.deadline - self.now()) / 2
+                patience_seconds = min(
+                    self.helper_watch.patience_seconds(route),
+                    max(MIN_PATIENCE_SECONDS, half_seconds),
+                )
                 await asyncio.wait({response}, timeout=patience_seconds)
                 if not await self._is_silent(helper, response):
                     continue
@@ -290,7 +299,7 @@
     async def _is_silent(
         self, helper: controlmessages.EntryVm, response: asyncio.Task[Any]
     ) -> bool:
-        """Returns whether a helper answers nothing, and avoids it then.
+        """Returns whether a helper answers nothing.
 
         Ends with the response at the latest.
         """
@@ -299,10 +308,12 @@
             await asyncio.wait(
                 {response, check}, return_when=asyncio.FIRST_COMPLETED
             )
-            if response.done() or not check.result():
-                return False
+            return not response.done() and check.result()
         finally:
             check.cancel()
+
+    def _record_silent(self, helper: controlmessages.EntryVm) -> None:
+        """Avoids a helper that answers nothing."""
         now = self.now()
         if not self.helpers.is_avoided(helper.name, now):
             self.log.emit_often(
@@ -311,7 +322,6 @@
                 in_flight=self.helpers.in_flight.get(helper.name, 0),
             )
         self.helpers.avoid(helper.name, helpers.BROKEN_SECONDS, now)
-        return True
 
     def _learn(self, service: str, name: str, outcome: str) -> None:
         """Remembers what the outcome of a call says about its helper."""
@@ -321,7 +331,7 @@
         elif outcome == relaymessages.NO_CAPACITY:
             if not self.helpers.is_avoided(name, now):
                 self.helpers.avoid(name, helpers.NO_CAPACITY_SECONDS, now)
-        elif outcome in ("broken", "no-answer-in-time"):
+        elif outcome == "broken":
             self.helpers.avoid(name, helpers.BROKEN_SECONDS, now)
 
     def _record(
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -257,7 +257,7 @@
 
 def test_the_patience_with_a_route_follows_the_time_it_takes():
     """Guards against a fixed time, too short or too long for some route."""
-    watch = helperwatch.HelperWatch(None, lambda: 0.0)
+    watch = helperwatch.HelperWatch(None, lambda: 0.0, None)
     assert watch.patience_seconds("r") == helperwatch.FIRST_PATIENCE_SECONDS
     for seconds in [1.0, 1.2, 0.8] * 20:
         watch.record_reply("r", seconds)
@@ -370,6 +370,17 @@
         assert (await serve(entry_vm)).status == 200
 
 
+async def test_a_frozen_helper_is_found_out_by_calls_with_little_time():
+    """Guards against a frozen helper that goes on getting short calls."""
+    async with cut_off_vm(never_answers) as (entry_vm, [helper]):
+        helper.is_frozen = True
+        assert (await serve(entry_vm, 0.5)).kind == errors.Kind.DEADLINE
+        known = entry_vm.relayer.helpers
+        async with asyncio.timeout(5):
+            while not known.is_avoided("h0", entry_vm.now()):
+                await asyncio.sleep(0.01)
+
+
 async def test_a_call_without_time_takes_no_helper_from_the_others():
     """Guards against a helper that counts as out of reach as nobody waited."""
     async with cut_off_vm(answering(replied(200))) as (entry_vm, _):
