--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -23,6 +23,8 @@
 from pollenseam import relaymessages
 
 CONNECT_SECONDS = 0.3
+# A call with less time left is not given to a helper.
+MIN_LEFT_SECONDS = 0.005
 # Helpers that are asked for one attempt.
 MAX_ASKED = 3
 # Least time after which a helper is asked for a sign of life.
@@ -183,6 +185,10 @@
         Returns:
             The response, also for a helper that cannot be asked; None if the
             call may have been executed.
+
+        Raises:
+            NoHelpError: The call's time is over before a helper is reached.
+            RefusedError: No answer came before the deadline.
         """
         started_at = self.now()
         left_seconds = active_call.deadline - started_at
@@ -196,6 +202,9 @@
                 active_call, helper, left_seconds, claim
             )
             outcome = "broken" if response is None else response.outcome
+        except NoHelpError:
+            outcome = "no-time"
+            raise
         except SilentError:
             outcome = "silent"
             return None
@@ -218,16 +227,17 @@
         claim: Claim,
     ) -> relaymessages.RelayResponse | None:
         address = helper.relay_address
-        if not await self.peers.connect(
+        is_connected = await self.peers.connect(
             address, min(CONNECT_SECONDS, left_seconds)
-        ):
+        )
+        left_seconds = active_call.deadline - self.now()
+        if left_seconds < MIN_LEFT_SECONDS:
+            raise NoHelpError("no time is left to reach another VM", False)
+        if not is_connected:
             self.helpers.avoid(
                 helper.name, helpers.UNCONNECTED_SECONDS, self.now()
             )
             return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
-        left_seconds = active_call.deadline - self.now()
-        if left_seconds <= 0:
-            return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
         self.log.emit_often(
             "relaying",
             request=active_call.call.id,
