--- a/src/pollenseam/helpers.py
+++ b/src/pollenseam/helpers.py
@@ -97,10 +97,35 @@
         pair = random.sample(group, min(2, len(group)))
         return min(pair, key=lambda e: self.in_flight.get(e.name, 0))
 
+    def may_reach(
+        self, service: str, regions: Container[str], now: float
+    ) -> bool:
+        """Returns whether a helper has not said that it reaches no upstream.
+
+        Helpers that cannot be asked for the moment count.
+
+        Args:
+            service: Name of the service.
+            regions: Regions that may serve the call; all if empty.
+            now: Time in seconds.
+        """
+        return any(
+            self._lends(entry)
+            and self.avoided_until.get((entry.name, service), 0.0) <= now
+            and (not regions or entry.region in regions)
+            for entry in self.entries.values()
+        )
+
+    def _lends(self, entry: controlmessages.EntryVm) -> bool:
+        """Returns whether a helper may lend, by its record."""
+        return (
+            entry.is_serving and not entry.is_cut_off and entry.relay_port > 0
+        )
+
     def _is_usable(
         self, entry: controlmessages.EntryVm, service: str, now: float
     ) -> bool:
-        if not entry.is_serving or entry.is_cut_off or not entry.relay_port:
+        if not self._lends(entry):
             return False
         if self.in_flight.get(entry.name, 0) >= MAX_HELD_CALLS:
             return False
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -140,7 +140,7 @@
         if len(active_call.call.body) > MAX_BODY_BYTES:
             raise NoHelpError("the body is too large to be relayed", False)
         asked: set[str] = set()
-        unreached_count = 0
+        unreached: set[str] = set()
         while len(asked) < MAX_ASKED:
             helper = self.helpers.choose(
                 service,
@@ -159,13 +159,16 @@
                 if response.upstream:
                     self._record_help(service)
                 return response
-            unreached_count += response.outcome == relaymessages.NOT_REACHED
-        is_unreached = 0 < unreached_count == len(asked)
-        if is_unreached:
+            if response.outcome == relaymessages.NOT_REACHED:
+                unreached.add(helper.name)
+        is_unreached = len(unreached) == MAX_ASKED or not (
+            self.helpers.may_reach(service, active_call.regions, self.now())
+        )
+        if unreached and is_unreached:
             self.helpers.record_no_help(service, self.now())
         raise NoHelpError(
             f"no other VM sends the call: {len(asked)} asked, "
-            f"{unreached_count} do not reach the service",
+            f"{len(unreached)} do not reach the service",
             is_unreached,
         )
 
