--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -162,6 +162,10 @@
         """Records that a reply of an upstream arrived."""
         self.replied_at = now
 
+    def has_replied_since(self, time: float) -> bool:
+        """Returns whether a reply has arrived since a time in seconds."""
+        return self.replied_at is not None and self.replied_at >= time
+
     def record_help(self, now: float) -> None:
         """Records that another VM reached the service for this one."""
         self.helped_at = now
--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -104,7 +104,7 @@
                 replied_seconds_ago=_age(reach.replied_at, now),
             )
             self._tasks.spawn(self._probe(service, reach, now))
-        else:
+        elif not reach.has_replied_since(now - CONNECT_SECONDS):
             self._suspect(service, reach, "failure", FAILURE_LOOK_SECONDS)
 
     def record_connected(
