Header values that are not UTF-8 are passed on with all their bytes

What callers and upstreams saw: bytes of header values that are not UTF-8 were missing, both ways: `caf`, 0xE9, ` `, 0xFF, `é!` arrived as `caf é!`.

Cause: aiohttp decodes heads with surrogates for such bytes, and the writer of its extension leaves surrogates out without an error (`_write_utf8`). Ruled out: reading, our filters and the messages of relays, which keep them.

Change: a serializer of our own, used for values that are not ASCII, after aiohttp's has checked that no line ends early. It is installed where a session or a server is opened; aiohttp has no other place for it. A request target with such bytes is refused with 400 by aiohttp, as before.

--- a/src/pollenseam/httpserver.py
+++ b/src/pollenseam/httpserver.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from pollenseam import headerbytes
+
 BACKLOG = 1024
 # Interval at which a stopping server looks for idle connections.
 SWEEP_SECONDS = 0.02
@@ -144,6 +146,7 @@
             max_field_bytes: Maximum size of the request line and of a header.
             max_headers: Maximum number of headers.
         """
+        headerbytes.install()
         self.web_server = web.Server(
             handler,
             request_factory=_make_request,
--- a/src/pollenseam/sessions.py
+++ b/src/pollenseam/sessions.py
@@ -6,6 +6,8 @@
 import aiohttp
 from aiohttp import client_proto
 
+from pollenseam import headerbytes
+
 CHUNK_BYTES = 64 * 1024
 CONNECT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 10.0
@@ -115,6 +117,7 @@
         keep_alive_seconds: Time for which an idle connection is kept open.
         trace_config: Receives the session's events, if given.
     """
+    headerbytes.install()
     connector = aiohttp.TCPConnector(
         limit=0,
         limit_per_host=0,
