--- a/tests/cutprogram.py
+++ b/tests/cutprogram.py
@@ -3,6 +3,7 @@
 CUT_FILE names the control file. Each of its lines is MODE and TARGETS: MODE is
 `refuse`, `reset` or `hang`; TARGETS is `*` or addresses joined by commas. Other
 connects to UPSTREAM_IP succeed, with the address SOURCE_IP as their source.
+With the line `hang CONTROL`, calls to CONTROL_IPS get no answer.
 """
 
 import asyncio
@@ -13,6 +14,9 @@
 
 import program
 
+from pollenseam import errors
+from pollenseam import peers
+
 ERRORS = {
     "refuse": ConnectionRefusedError(errno.ECONNREFUSED, "refused"),
     "reset": ConnectionResetError(errno.ECONNRESET, "reset"),
@@ -22,12 +26,14 @@
 
 _loop_class = selector_events.BaseSelectorEventLoop
 _connect = _loop_class.sock_connect
+_call = peers.Client.call
 
 
 def _mode(address):
     for line in pathlib.Path(os.environ["CUT_FILE"]).read_text().splitlines():
         mode, targets = line.split()
-        if targets == "*" or address in targets.split(","):
+        is_any = targets == "*" and address != "CONTROL"
+        if is_any or address in targets.split(","):
             return mode
     return ""
 
@@ -44,6 +50,15 @@
     await _connect(loop, sock, address)
 
 
+async def _call_or_cut(client, address, method, request, timeout_seconds):
+    is_control = address.rpartition(":")[0] in os.environ["CONTROL_IPS"].split()
+    if is_control and _mode("CONTROL"):
+        await asyncio.sleep(timeout_seconds)
+        raise errors.UnreachableError(f"{address}: cut", "deadline_exceeded")
+    return await _call(client, address, method, request, timeout_seconds)
+
+
 if __name__ == "__main__":
     _loop_class.sock_connect = _connect_or_cut
+    peers.Client.call = _call_or_cut
     program.main()
--- a/tests/cuts.py
+++ b/tests/cuts.py
@@ -136,6 +136,7 @@
             machine.environment = {
                 "CUT_FILE": str(control_file),
                 "SOURCE_IP": machine.ip,
+                "CONTROL_IPS": " ".join(self.seeds),
                 "UPSTREAM_IP": f"{self.address_prefix}.{UPSTREAM_HOST}",
                 "PYTHONPATH": os.pathsep.join(filter(None, folders)),
             }
@@ -164,6 +165,11 @@
             elif kept == "reset":
                 server.proxy.reset(machine.ip)
 
+    def cut_from_control(self, entry_index):
+        """Cuts an entry VM off from all control VMs as well."""
+        file = self.control_files[self.entry_vms[entry_index].name]
+        file.write_text(file.read_text() + "hang CONTROL\n")
+
     def heal(self, entry_index):
         machine = self.entry_vms[entry_index]
         self.control_files[machine.name].write_text("")
--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -207,6 +207,37 @@
         assert max(cuts.runs_by_id(cluster).values()) <= 2
 
 
+async def test_a_vm_that_is_cut_off_from_control_serves_while_it_is_fresh(
+    tmp_path,
+):
+    """Guards against a VM that needs its leader to find helpers.
+
+    Once its settings are too old to check keys (5 s), it refuses at once.
+    """
+    async with cuts.running_cluster(tmp_path) as cluster:
+        cluster.cut(0, "hang", "reset")
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+        cluster.cut_from_control(0)
+        [ratio] = await served_ratios(cluster, [0], 3.0)
+        assert ratio >= MIN_SERVED_RATIO
+        assert await metric(cluster, 0, "settings_age_seconds") > 2.0
+
+        async def is_refused():
+            return (await cluster.request())[0] == 503
+
+        await cluster.wait_until(is_refused, timeout_seconds=3.0)
+        relays = await metric(cluster, 0, "relays_total")
+        started = time.monotonic()
+        for _ in range(20):
+            assert await is_refused()
+        assert time.monotonic() - started < 20 * 0.5
+        assert await metric(cluster, 0, "relays_total") == relays
+        log = cluster.entry_vms[0].read_log()
+        assert "the settings are too old to check keys" in log
+        cluster.heal(0)
+        await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
+
+
 async def test_a_relayed_request_keeps_its_id_its_time_and_its_headers(
     tmp_path,
 ):
