--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -207,9 +207,21 @@
         raise self._final_refusal(
             active_call,
             f"this VM reaches no upstream of the service; {error}",
-            NO_UPSTREAM_SECONDS if error.is_unreached else ELSEWHERE_SECONDS,
+            self._seconds_until_help(active_call, error),
         )
 
+    def _seconds_until_help(
+        self, active_call: calls.ActiveCall, error: relaying.NoHelpError
+    ) -> float:
+        """Returns when callers may come back, if no other VM sends a call."""
+        if error.is_unreached:
+            return NO_UPSTREAM_SECONDS
+        helpers = self.relayer.helpers
+        if not helpers.are_mostly_cut_off():
+            return ELSEWHERE_SECONDS
+        seconds = helpers.seconds_until_usable(active_call.service, self.now())
+        return max(ELSEWHERE_SECONDS, seconds)
+
     def _has_way(
         self,
         active_call: calls.ActiveCall,
--- a/src/pollenseam/helpers.py
+++ b/src/pollenseam/helpers.py
@@ -116,6 +116,31 @@
             for entry in self.entries.values()
         )
 
+    def seconds_until_usable(self, service: str, now: float) -> float:
+        """Returns the time until a helper may be asked; 0 if none may be.
+
+        A helper that has as many calls as it may have counts as one without
+        capacity.
+        """
+        waits = []
+        for entry in self.entries.values():
+            if not self._lends(entry):
+                continue
+            until = max(
+                self.avoided_until.get((entry.name, ""), 0.0),
+                self.avoided_until.get((entry.name, service), 0.0),
+            )
+            if self.in_flight.get(entry.name, 0) >= MAX_HELD_CALLS:
+                until = max(until, now + NO_CAPACITY_SECONDS)
+            waits.append(max(0.0, until - now))
+        return min(waits, default=0.0)
+
+    def are_mostly_cut_off(self) -> bool:
+        """Returns whether callers are likely to meet another VM cut off."""
+        serving = [e for e in self.entries.values() if e.is_serving]
+        cut_off = sum(entry.is_cut_off for entry in serving)
+        return cut_off * 2 >= len(serving)
+
     def _lends(self, entry: controlmessages.EntryVm) -> bool:
         """Returns whether a helper may lend, by its record."""
         return (
--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -1,6 +1,7 @@
 """Cuts of parts, of many VMs and of helpers, as real programs."""
 
 import asyncio
+import contextlib
 import signal
 import time
 
@@ -52,6 +53,68 @@
         assert await metric(cluster, 1, "services_unreached") == 0
 
 
+@contextlib.asynccontextmanager
+async def slowed(machine, ratio):
+    """Lets a VM run for a part of the time only."""
+
+    async def stop_and_go():
+        while True:
+            machine.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.05 * (1 - ratio))
+            machine.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(0.05 * ratio)
+
+    task = asyncio.create_task(stop_and_go())
+    yield
+    task.cancel()
+    machine.process.send_signal(signal.SIGCONT)
+
+
+async def test_the_one_vm_that_is_left_is_not_overloaded(tmp_path):
+    """Guards against a VM with 0.3 of a core that drowns in others' calls.
+
+    Three of four VMs are cut off, with twenty callers each. What the one that
+    is left cannot send for them is refused at once.
+    """
+    async with cuts.running_cluster(tmp_path, 8, 4) as cluster:
+        for server in cluster.servers:
+            server.delay_seconds = 0.2
+        for n in (0, 2, 3):
+            cluster.cut(n, "refuse", "reset")
+        await served_ratios(cluster, [0, 2, 3], 1.0)
+        statuses = {}
+        refusals = []
+        until = time.monotonic() + 4.0
+
+        async def call_in_turn(entry_index, number):
+            while time.monotonic() < until:
+                started = time.monotonic()
+                status, headers, _ = await cluster.request(
+                    f"/a/{number}",
+                    entry_index=entry_index,
+                    headers={"Cookie": f"X-Affinity-Key={number}"},
+                )
+                key = (entry_index, status)
+                statuses[key] = statuses.get(key, 0) + 1
+                if status == 503:
+                    held = time.monotonic() - started
+                    refusals.append((held, float(headers["Retry-After"])))
+                await asyncio.sleep(0.05)
+
+        async with slowed(cluster.entry_vms[1], 0.3):
+            await asyncio.gather(
+                *(call_in_turn(1, n) for n in range(4)),
+                *(call_in_turn(vm, n) for vm in (0, 2, 3) for n in range(20)),
+            )
+        own = sum(c for (vm, _), c in statuses.items() if vm == 1)
+        assert statuses[1, 200] >= 0.9 * own
+        assert min(statuses[vm, 200] for vm in (0, 2, 3)) > 20
+        # At once: before a third of the route's time of 2 s.
+        in_time = sum(held <= 2.0 / 3 for held, _ in refusals)
+        assert in_time >= 0.9 * len(refusals)
+        assert min(retry_after for _, retry_after in refusals) >= 0.05
+
+
 async def test_a_way_that_comes_and_goes_serves_most_callers(tmp_path):
     """Guards against a VM that is lost between two beliefs."""
     async with cuts.running_cluster(tmp_path) as cluster:
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -404,6 +404,33 @@
         assert (await serve(entry_vm)).status == 200
 
 
+async def test_callers_come_back_when_the_only_helper_may_be_asked_again():
+    """Guards against a herd at VMs whose helper has no capacity.
+
+    Where most VMs are not cut off, callers are served by these at once.
+    """
+    full = answering(relaymessages.RelayResponse("no-capacity"))
+    ok = answering(replied(200))
+    async with cut_off_vm(full, ok, ok) as (entry_vm, [helper, *_]):
+        known = entry_vm.relayer.helpers
+        for name in ("h1", "h2"):
+            known.entries[name].is_cut_off = True
+        for _ in range(5):
+            refusal = await serve(entry_vm)
+            assert (refusal.kind, refusal.executed) == (
+                errors.Kind.NO_ROOM,
+                "no",
+            )
+            left = known.avoided_until["h0", ""] - entry_vm.now()
+            assert left <= refusal.retry_after <= helpers.NO_CAPACITY_SECONDS
+        assert len(helper.received) == 1
+        known.entries["h1"].is_cut_off = False
+        known.avoid("h1", 1.0, entry_vm.now())
+        known.entries["h2"].is_cut_off = False
+        known.avoid("h2", 1.0, entry_vm.now())
+        assert (await serve(entry_vm)).retry_after == 0.05
+
+
 # The helper.
 
 
