--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -45,6 +45,7 @@
         unreached_since: Time since which the service is unreached, or None.
         connected_at: Time of the last successful connect, or None.
         replied_at: Time of the last reply, or None.
+        heard_at: Time of the last reply or successful connect, by upstream.
         helped_at: Time at which another VM last reached the service for this
             one, or None.
         cut_off_until: Time until which this VM counts as cut off although it
@@ -60,6 +61,7 @@
         "unreached_since",
         "connected_at",
         "replied_at",
+        "heard_at",
         "helped_at",
         "cut_off_until",
     )
@@ -73,6 +75,7 @@
         self.unreached_since: float | None = None
         self.connected_at: float | None = None
         self.replied_at: float | None = None
+        self.heard_at: dict[str, float] = {}
         self.helped_at: float | None = None
         self.cut_off_until = 0.0
 
@@ -134,6 +137,7 @@
             now: Time in seconds.
         """
         self.latest[upstream] = True
+        self.heard_at[upstream] = now
         self.connected_at = now
         if self.is_unreached:
             self.reconnected.add(upstream)
@@ -158,9 +162,10 @@
             self.returns.popleft()
         return min(1 + len(self.returns), MAX_RETURN_COUNT)
 
-    def record_reply(self, now: float) -> None:
+    def record_reply(self, upstream: str, now: float) -> None:
         """Records that a reply of an upstream arrived."""
         self.replied_at = now
+        self.heard_at[upstream] = now
 
     def has_replied_since(self, time: float) -> bool:
         """Returns whether a reply has arrived since a time in seconds."""
@@ -198,3 +203,6 @@
         """Forgets all other upstreams."""
         self.latest = {u: s for u, s in self.latest.items() if u in upstreams}
         self.reconnected = {u for u in self.reconnected if u in upstreams}
+        self.heard_at = {
+            u: t for u, t in self.heard_at.items() if u in upstreams
+        }
--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -27,8 +27,8 @@
 PROBE_SECONDS = 0.5
 # Upstreams to which a connection is opened at a time.
 PROBE_COUNT = 2
-# More of them at a time if calls wait for their replies.
-MAX_PROBE_COUNT = 16
+# Further ones at a time, for which calls wait that may be abandoned.
+MAX_WAITED_COUNT = 16
 # Rounds of connections for one suspicion, and the time between two suspicions
 # for the same reason.
 LOOK_ROUNDS = 2
@@ -125,9 +125,9 @@
                 returns=len(reach.returns),
             )
 
-    def record_reply(self, service: str) -> None:
+    def record_reply(self, service: str, upstream: str) -> None:
         """Records that a reply of an upstream arrived."""
-        self.reach(service).record_reply(self.now())
+        self.reach(service).record_reply(upstream, self.now())
 
     def retain(self, service: str, upstreams: Container[str]) -> None:
         """Forgets all other upstreams of a service."""
@@ -209,7 +209,7 @@
     ) -> None:
         """Opens connections until one succeeds or the reach is lost."""
         for _ in range(LOOK_ROUNDS):
-            await self._open_connections(service, reach, PROBE_COUNT)
+            await self._open_connections(service, reach, 0)
             if reach.is_unreached or not reach.failed:
                 return
 
@@ -224,7 +224,7 @@
         while reach.unreached_since == lost_at:
             started_at = self.now()
             silent = await self._open_connections(
-                service, reach, MAX_PROBE_COUNT
+                service, reach, MAX_WAITED_COUNT
             )
             if silent is None:
                 self.services.pop(service, None)
@@ -273,17 +273,14 @@
         self,
         service: str,
         reach: reachability.ServiceReach,
-        max_count: int,
+        waited_count: int,
     ) -> set[str] | None:
         """Opens connections to some upstreams, and closes them.
 
-        Upstreams for which calls wait come first, as far as these may be
-        abandoned; then those to which no connect has failed.
-
         Args:
             service: Name of the service.
             reach: Reach of the service.
-            max_count: Number of upstreams for which calls wait.
+            waited_count: Number of upstreams for which calls wait.
 
         Returns:
             The upstreams to which it timed out; None if there are no upstreams.
@@ -291,32 +288,49 @@
         addresses = self.addresses(service)
         if not addresses:
             return None
-        waited_for = {
-            wait.upstream
-            for wait in self.waiting.get(service, ())
-            if wait.is_abandonable
-        }
-        ids = random.sample(list(addresses), len(addresses))
-        ids.sort(
-            key=lambda id: (
-                id not in waited_for,
-                id in reach.failed,
-                id in reach.reconnected,
-            )
-        )
-        count = max(PROBE_COUNT, min(len(waited_for), max_count))
+        ids = self._targets(service, reach, list(addresses), waited_count)
         outcomes = await asyncio.gather(
             *(
                 self._connect(service, id, addresses[id], len(addresses))
-                for id in ids[:count]
+                for id in ids
             )
         )
         return {
             id
-            for id, outcome in zip(ids, outcomes, strict=False)
+            for id, outcome in zip(ids, outcomes, strict=True)
             if outcome == "timed-out"
         }
 
+    def _targets(
+        self,
+        service: str,
+        reach: reachability.ServiceReach,
+        ids: list[str],
+        waited_count: int,
+    ) -> list[str]:
+        """Returns the upstreams to which connections are opened.
+
+        Those that were heard last come first, because upstreams that are out of
+        reach for all VMs must not look like a cut of this one; among those that
+        failed, the first that did.
+        """
+        random.shuffle(ids)
+        ids.sort(
+            key=lambda id: (
+                reach.failed.get(id, 0.0),
+                id in reach.reconnected,
+                -reach.heard_at.get(id, 0.0),
+            )
+        )
+        targets = ids[:PROBE_COUNT]
+        waited_for = {
+            wait.upstream
+            for wait in self.waiting.get(service, ())
+            if wait.is_abandonable
+        }
+        waited = [id for id in ids[PROBE_COUNT:] if id in waited_for]
+        return targets + waited[:waited_count]
+
     async def _connect(
         self, service: str, upstream: str, address: str, upstream_count: int
     ) -> str:
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -274,7 +274,7 @@
                 response.release()
             else:
                 response.close()
-        self.reach_watch.record_reply(active_call.service)
+        self.reach_watch.record_reply(active_call.service, upstream.record.id)
         now = self.now()
         if not head.is_replaced and (head.matches_request or head.is_not_run):
             self._record_stated_limit(
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -26,7 +26,7 @@
         elif kind == "connected":
             reach.record_connected(upstream, count, now)
         elif kind == "reply":
-            reach.record_reply(now)
+            reach.record_reply(upstream, now)
         else:
             reach.record_help(now)
     return now
--- a/tests/test_reachwatch.py
+++ b/tests/test_reachwatch.py
@@ -240,3 +240,27 @@
     await asyncio.sleep(0.3)
     assert exits == []
     assert watch.reach("s1").is_unreached
+
+
+async def test_a_suspicion_asks_the_upstreams_that_were_heard_last(
+    watch, monkeypatch
+):
+    """Guards against upstreams that are down for all, taken for a cut.
+
+    Calls wait just for these, so they say nothing about the others.
+    """
+    asked = []
+
+    async def connect(service, upstream, address, count):
+        asked.append(upstream)
+        watch.record_connected(service, upstream, count)
+        return "connected"
+
+    monkeypatch.setattr(watch, "_connect", connect)
+    for upstream in ("i1", "i3"):
+        watch.record_reply("s1", upstream)
+    watch.reach("s1").replied_at = 0.0
+    watch.record_connect_failed("s1", "i0", 4, "timed-out")
+    await asyncio.sleep(0.02)
+    assert sorted(asked) == ["i1", "i3"]
+    assert not watch.reach("s1").failed
