RECOVER: connections after a return do not keep a VM cut off

What callers saw: a VM that reaches its upstreams again may stay out of the directory as long as it opens a connection each second (shown in-process).

Cause: the hold of 1 s after a return was renewed by each successful connect within it, because the VM counts as cut off meanwhile. Change: only the connect that ends the loss sets it.

test_connects_after_the_return_do_not_keep_a_vm_cut_off failed before.

--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -147,8 +147,8 @@
             if len(self.reconnected) < required:
                 return False
             self.returns.append(now)
-        if self.is_cut_off(now):
-            self.cut_off_until = now + HOLD_SECONDS
+            if self.is_cut_off(now):
+                self.cut_off_until = now + HOLD_SECONDS
         restored = self.is_unreached
         self.unreached_since = None
         self.failing_since = None
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -124,3 +124,15 @@
     now = play(reach, [("connected", "u1", 0.0)], now=now)
     assert reach.is_cut_off(now)
     assert not reach.is_cut_off(now + reachability.HOLD_SECONDS)
+
+
+def test_connects_after_the_return_do_not_keep_a_vm_cut_off():
+    """Guards against a VM that stays out as long as it opens connections."""
+    reach = reachability.ServiceReach()
+    now = play(reach, [("failed", u, 0.0) for u in ("u1", "u2")])
+    now = play(reach, [("help", "", 1.0), ("connected", "u1", 0.0)], now=now)
+    until = now + reachability.HOLD_SECONDS
+    while now < until:
+        assert reach.is_cut_off(now)
+        now = play(reach, [("connected", "u1", 0.25)], now=now)
+    assert not reach.is_cut_off(now)
