--- a/tests/test_cut_off_more.py
+++ b/tests/test_cut_off_more.py
@@ -301,6 +301,34 @@
         await cluster.wait_until(lambda: cuts.is_served(cluster, 0))
 
 
+async def test_a_cut_makes_no_request_a_suspect_of_crashes(tmp_path):
+    """Guards against a popular request that all VMs refuse after a cut.
+
+    Its connections to all upstreams are reset and new ones refused, as if it
+    had ended them.
+    """
+    async with cuts.running_cluster(tmp_path) as cluster:
+        for server in cluster.servers:
+            server.delay_seconds = 0.3
+        tasks = [
+            asyncio.create_task(
+                cluster.request(headers={"Cookie": f"X-Affinity-Key={n}"})
+            )
+            for n in range(8)
+        ]
+
+        async def run_at_all():
+            return all(server.received_requests for server in cluster.servers)
+
+        await cluster.wait_until(run_at_all)
+        cluster.cut(0, "refuse", "reset")
+        await asyncio.gather(*tasks)
+        # A heartbeat carries what one VM knows to the others.
+        await asyncio.sleep(1.0)
+        for n in range(1, 3):
+            assert await cuts.is_served(cluster, n)
+
+
 async def test_a_relayed_request_keeps_its_id_its_time_and_its_headers(
     tmp_path,
 ):
