RECOVER: an upstream in a region that is not allowed is no way to go on

What callers saw: since, at a VM that reaches none of the upstreams that a call may go to, connects to these once more before the refusal, as long as one elsewhere accepted: with a cut that hangs, 0.3 s each.

Cause: whether an upstream is left was asked for all regions. Change: for those that the call may go to. test_upstreams_in_regions_that_are_not_ allowed_are_no_way failed before (refused after connects, `no upstream is serving`, not at once).

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -229,10 +229,12 @@
     ) -> bool:
         """Returns whether an upstream may be left that this VM reaches."""
         now = self.now()
+        regions = active_call.regions
         return any(
             reach.may_accept(id) and upstream.suspect_until <= now
             for id, upstream in active_call.pool.upstreams.items()
             if id not in active_call.tried
+            and (not regions or upstream.region in regions)
         )
 
     async def _send(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -67,3 +67,21 @@
         await asyncio.gather(*(call_in_turn() for _ in range(CALLERS)))
         await runner.cleanup()
     assert counts[200] >= MIN_SERVED_RATIO * sum(counts.values()), counts
+
+
+async def test_upstreams_in_regions_that_are_not_allowed_are_no_way():
+    """Guards against calls held for connects to upstreams known to fail."""
+    down = test_relaying.answering(relaymessages.RelayResponse("not-reached"))
+    async with test_relaying.cut_off_vm(down) as (vm, _):
+        runner = await add_upstreams(vm, 2, 1)
+        upstreams = vm.pools["s1"].upstreams
+        for name in ("u0", "u1"):
+            vm.reach_watch.record_connect_failed("s1", name, 3, "refused")
+            upstreams[name].region = "r2"
+        route = vm.table.find_route("h", "/a/1").route
+        route.allowed_regions = ["r2"]
+        refusal = await test_relaying.serve(vm, seconds=1.0)
+        assert "this VM reaches no upstream" in refusal.detail
+        route.allowed_regions = []
+        assert (await test_relaying.serve(vm, seconds=1.0)).status == 200
+        await runner.cleanup()
