RECOVER: probes get around all upstreams of a service that is lost

Cause: among failed upstreams the first that failed came first, also after it had accepted. Change: those that accepted come last. test_probes_get_around_all_upstreams failed before (i0, i0, i1, i1).

--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -312,13 +312,13 @@
 
         Those that were heard last come first, because upstreams that are out of
         reach for all VMs must not look like a cut of this one; among those that
-        failed, the first that did.
+        failed, the first that did. Those that just accepted come last.
         """
         random.shuffle(ids)
         ids.sort(
             key=lambda id: (
-                reach.failed.get(id, 0.0),
                 id in reach.reconnected,
+                reach.failed.get(id, 0.0),
                 -reach.heard_at.get(id, 0.0),
             )
         )
--- a/tests/test_reachwatch.py
+++ b/tests/test_reachwatch.py
@@ -264,3 +264,25 @@
     await asyncio.sleep(0.02)
     assert sorted(asked) == ["i1", "i3"]
     assert not watch.reach("s1").failed
+
+
+async def test_probes_get_around_all_upstreams(watch, exits, monkeypatch):
+    """Guards against a return that waits for others, while two are asked."""
+    asked = []
+
+    async def connect(service, upstream, address, count):
+        asked.append(upstream)
+        await asyncio.sleep(0)
+        # As if each return took four upstreams.
+        reach = watch.reach(service)
+        reach.reconnected.add(upstream)
+        return "connected"
+
+    watch.looks_again_at["s1", "failure"] = float("inf")
+    for upstream in watch.known:
+        watch.record_connect_failed("s1", upstream, 4, "refused")
+    monkeypatch.setattr(watch, "_connect", connect)
+    async with asyncio.timeout(5):
+        while len(asked) < 4:
+            await asyncio.sleep(0.01)
+    assert sorted(asked[:4]) == sorted(watch.known)
