--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -8,7 +8,9 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import metrics
+from pollenseam import reachability
 from pollenseam import relaying
+from pollenseam import relayoutcomes
 from pollenseam import retries
 from pollenseam import sending
 from pollenseam import statementwatch
@@ -75,6 +77,7 @@
             crash_watch,
             self.reach_watch,
             self._evaluate_failure,
+            self._claim_second_run,
         )
 
     async def close(self) -> None:
@@ -178,11 +181,13 @@
                 deadline.
         """
         try:
-            response = await self.relayer.send(active_call)
+            response = await self.relayer.send(
+                active_call, self._claim_second_run
+            )
         except relaying.NoHelpError as error:
             return self._go_on_alone(active_call, error)
         try:
-            reply = relaying.apply(active_call, response)
+            reply = relayoutcomes.apply(active_call, response)
         except errors.RefusedError:
             if active_call.reply is None:
                 raise
@@ -197,12 +202,39 @@
             return active_call.reply
         active_call.is_helpless = True
         reach = self.reach_watch.reach(active_call.service)
-        if not reach.is_unreached:
+        if not reach.is_unreached or self._has_way(active_call, reach):
             return None
         raise self._final_refusal(
             active_call,
             f"this VM reaches no upstream of the service; {error}",
-            NO_UPSTREAM_SECONDS if error.is_unreached else ELSEWHERE_SECONDS,
+            self._seconds_until_help(active_call, error),
+        )
+
+    def _seconds_until_help(
+        self, active_call: calls.ActiveCall, error: relaying.NoHelpError
+    ) -> float:
+        """Returns when callers may come back, if no other VM sends a call."""
+        if error.is_unreached:
+            return NO_UPSTREAM_SECONDS
+        helpers = self.relayer.helpers
+        if not helpers.are_mostly_cut_off():
+            return ELSEWHERE_SECONDS
+        seconds = helpers.seconds_until_usable(active_call.service, self.now())
+        return max(ELSEWHERE_SECONDS, seconds)
+
+    def _has_way(
+        self,
+        active_call: calls.ActiveCall,
+        reach: reachability.ServiceReach,
+    ) -> bool:
+        """Returns whether an upstream may be left that this VM reaches."""
+        now = self.now()
+        regions = active_call.regions
+        return any(
+            reach.may_accept(id) and upstream.suspect_until <= now
+            for id, upstream in active_call.pool.upstreams.items()
+            if id not in active_call.tried
+            and (not regions or upstream.region in regions)
         )
 
     async def _send(
@@ -264,6 +296,9 @@
 
     def _spend_retry(self, active_call: calls.ActiveCall, now: float) -> None:
         """Takes a retry from the budget if the call was sent before."""
+        if active_call.has_retry:
+            active_call.has_retry = False
+            return
         if active_call.deliveries and not self._budget(
             active_call.service
         ).try_spend(self.vm_count, now):
@@ -271,6 +306,15 @@
                 active_call, "the retry budget is exhausted", 0.5
             )
 
+    def _claim_second_run(self, active_call: calls.ActiveCall) -> bool:
+        """Takes a retry for a call that waits, if another VM may send it."""
+        now = self.now()
+        if not self.relayer.may_help(active_call, now):
+            return False
+        budget = self._budget(active_call.service)
+        active_call.has_retry = budget.try_spend(self.vm_count, now)
+        return active_call.has_retry
+
     def _may_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
         return active_call.may_retry() and self._may_run_again(active_call, now)
 
--- a/src/pollenseam/helpers.py
+++ b/src/pollenseam/helpers.py
@@ -10,6 +10,8 @@
 BROKEN_SECONDS = 1.0
 NOT_REACHED_SECONDS = 1.0
 NO_CAPACITY_SECONDS = 0.3
+# Calls of this VM that one helper may have at a time: half of what it lends.
+MAX_HELD_CALLS = 24
 # After a call for which no helper reached the service, no helper is asked for
 # this long, doubled up to the maximum as long as none does.
 MIN_PAUSE_SECONDS = 0.5
@@ -95,10 +97,62 @@
         pair = random.sample(group, min(2, len(group)))
         return min(pair, key=lambda e: self.in_flight.get(e.name, 0))
 
+    def may_reach(
+        self, service: str, regions: Container[str], now: float
+    ) -> bool:
+        """Returns whether a helper has not said that it reaches no upstream.
+
+        Helpers that cannot be asked for the moment count.
+
+        Args:
+            service: Name of the service.
+            regions: Regions that may serve the call; all if empty.
+            now: Time in seconds.
+        """
+        return any(
+            self._lends(entry)
+            and self.avoided_until.get((entry.name, service), 0.0) <= now
+            and (not regions or entry.region in regions)
+            for entry in self.entries.values()
+        )
+
+    def seconds_until_usable(self, service: str, now: float) -> float:
+        """Returns the time until a helper may be asked; 0 if none may be.
+
+        A helper that has as many calls as it may have counts as one without
+        capacity.
+        """
+        waits = []
+        for entry in self.entries.values():
+            if not self._lends(entry):
+                continue
+            until = max(
+                self.avoided_until.get((entry.name, ""), 0.0),
+                self.avoided_until.get((entry.name, service), 0.0),
+            )
+            if self.in_flight.get(entry.name, 0) >= MAX_HELD_CALLS:
+                until = max(until, now + NO_CAPACITY_SECONDS)
+            waits.append(max(0.0, until - now))
+        return min(waits, default=0.0)
+
+    def are_mostly_cut_off(self) -> bool:
+        """Returns whether callers are likely to meet another VM cut off."""
+        serving = [e for e in self.entries.values() if e.is_serving]
+        cut_off = sum(entry.is_cut_off for entry in serving)
+        return cut_off * 2 >= len(serving)
+
+    def _lends(self, entry: controlmessages.EntryVm) -> bool:
+        """Returns whether a helper may lend, by its record."""
+        return (
+            entry.is_serving and not entry.is_cut_off and entry.relay_port > 0
+        )
+
     def _is_usable(
         self, entry: controlmessages.EntryVm, service: str, now: float
     ) -> bool:
-        if not entry.is_serving or entry.is_cut_off or not entry.relay_port:
+        if not self._lends(entry):
+            return False
+        if self.in_flight.get(entry.name, 0) >= MAX_HELD_CALLS:
             return False
         avoided = self.avoided_until
         return (
--- a/src/pollenseam/reachability.py
+++ b/src/pollenseam/reachability.py
@@ -24,9 +24,11 @@
 FLAP_SECONDS = 10.0
 MAX_RETURN_COUNT = 4
 # A VM calls itself cut off from a service after this time, and for this long
-# after it reached the service again.
+# after it reached the service again, doubled by each return of the last
+# FLAP_SECONDS up to the maximum.
 CUT_OFF_SECONDS = 0.5
 HOLD_SECONDS = 1.0
+MAX_HOLD_SECONDS = 8.0
 
 
 class ServiceReach:
@@ -37,14 +39,15 @@
     Attributes:
         failed: Time of the last failed connect, by upstream, since the last
             successful connect to any upstream of the service.
-        reconnected: Upstreams that accepted a connection while the service
-            was unreached, since the last failed connect.
+        reconnected: Upstreams whose last connect succeeded while the service
+            was unreached.
         returns: Times at which the service was reached again.
         latest: Whether the last connect succeeded, by upstream.
         failing_since: Time of the first of the `failed` connects, or None.
         unreached_since: Time since which the service is unreached, or None.
         connected_at: Time of the last successful connect, or None.
         replied_at: Time of the last reply, or None.
+        heard_at: Time of the last reply or successful connect, by upstream.
         helped_at: Time at which another VM last reached the service for this
             one, or None.
         cut_off_until: Time until which this VM counts as cut off although it
@@ -60,6 +63,7 @@
         "unreached_since",
         "connected_at",
         "replied_at",
+        "heard_at",
         "helped_at",
         "cut_off_until",
     )
@@ -73,6 +77,7 @@
         self.unreached_since: float | None = None
         self.connected_at: float | None = None
         self.replied_at: float | None = None
+        self.heard_at: dict[str, float] = {}
         self.helped_at: float | None = None
         self.cut_off_until = 0.0
 
@@ -86,6 +91,10 @@
         """Number of upstreams to which the last connect failed."""
         return sum(not succeeded for succeeded in self.latest.values())
 
+    def may_accept(self, upstream: str) -> bool:
+        """Returns whether the last connect to an upstream did not fail."""
+        return self.latest.get(upstream, True)
+
     def record_connect_failed(
         self, upstream: str, upstream_count: int, now: float
     ) -> bool:
@@ -97,7 +106,7 @@
             now: Time in seconds.
         """
         self.latest[upstream] = False
-        self.reconnected.clear()
+        self.reconnected.discard(upstream)
         self._drop_old(now)
         self.failed[upstream] = now
         if self.failing_since is None:
@@ -130,15 +139,18 @@
             now: Time in seconds.
         """
         self.latest[upstream] = True
+        self.heard_at[upstream] = now
         self.connected_at = now
         if self.is_unreached:
             self.reconnected.add(upstream)
-            required = min(self._return_count(now), upstream_count)
+            # Those that accept no connection now may have ended.
+            open_count = upstream_count - self.failing_count
+            required = min(self._return_count(now), max(1, open_count))
             if len(self.reconnected) < required:
                 return False
             self.returns.append(now)
-        if self.is_cut_off(now):
-            self.cut_off_until = now + HOLD_SECONDS
+            if self.is_cut_off(now):
+                self.cut_off_until = now + self._hold_seconds()
         restored = self.is_unreached
         self.unreached_since = None
         self.failing_since = None
@@ -152,9 +164,19 @@
             self.returns.popleft()
         return min(1 + len(self.returns), MAX_RETURN_COUNT)
 
-    def record_reply(self, now: float) -> None:
+    def _hold_seconds(self) -> float:
+        """Returns how long this VM counts as cut off after a return."""
+        seconds = HOLD_SECONDS * 2.0 ** (len(self.returns) - 1)
+        return min(seconds, MAX_HOLD_SECONDS)
+
+    def record_reply(self, upstream: str, now: float) -> None:
         """Records that a reply of an upstream arrived."""
         self.replied_at = now
+        self.heard_at[upstream] = now
+
+    def has_replied_since(self, time: float) -> bool:
+        """Returns whether a reply has arrived since a time in seconds."""
+        return self.replied_at is not None and self.replied_at >= time
 
     def record_help(self, now: float) -> None:
         """Records that another VM reached the service for this one."""
@@ -166,8 +188,10 @@
         A service that no VM reaches is down, and no reason to send callers
         elsewhere.
         """
+        if now < self.cut_off_until:
+            return True
         if self.unreached_since is None:
-            return now < self.cut_off_until
+            return False
         is_helped = (
             self.helped_at is not None
             and self.helped_at >= self.unreached_since
@@ -188,3 +212,6 @@
         """Forgets all other upstreams."""
         self.latest = {u: s for u, s in self.latest.items() if u in upstreams}
         self.reconnected = {u for u in self.reconnected if u in upstreams}
+        self.heard_at = {
+            u: t for u, t in self.heard_at.items() if u in upstreams
+        }
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -5,22 +5,30 @@
 the deadline and the answer.
 """
 
+import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 from pollenseam import calls
 from pollenseam import controlmessages
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import helpers
+from pollenseam import helperwatch
 from pollenseam import metrics
 from pollenseam import peers
 from pollenseam import reachwatch
 from pollenseam import relaymessages
 
 CONNECT_SECONDS = 0.3
+# A call with less time left is not given to a helper.
+MIN_LEFT_SECONDS = 0.005
 # Helpers that are asked for one attempt.
 MAX_ASKED = 3
+# Least time after which a helper is asked for a sign of life.
+MIN_PATIENCE_SECONDS = 0.1
 # Body above which a call is not given to a helper.
 MAX_BODY_BYTES = 1024 * 1024
 # A connection to a helper is closed when it was not used for this long.
@@ -32,6 +40,13 @@
 NOT_RECEIVED = ("unimplemented", "invalid_argument")
 
 
+Claim = Callable[[calls.ActiveCall], bool]
+
+
+class SilentError(errors.PollenseamError):
+    """A helper answers nothing; the call may have been executed."""
+
+
 class NoHelpError(errors.PollenseamError):
     """No helper can send the call; it was not executed.
 
@@ -53,6 +68,7 @@
         now: Returns the time since boot in seconds.
         peers: Client for calls to other VMs.
         helpers: The entry VMs that may help.
+        helper_watch: Finds out which of them are silent.
         reach_watch: Follows which services this VM reaches.
         relays: Counts calls given to helpers, by service and outcome.
         used_at: Time of the last use of a connection, by helper's address.
@@ -72,6 +88,9 @@
         self.now = now
         self.peers = peer_client
         self.helpers = known_helpers
+        self.helper_watch = helperwatch.HelperWatch(
+            peer_client, now, self._record_silent
+        )
         self.reach_watch = reach_watch
         self.relays = relays
         self.used_at: dict[str, float] = {}
@@ -87,11 +106,26 @@
             del self.open_calls[address]
             await self.peers.disconnect(address)
 
+    def may_help(self, active_call: calls.ActiveCall, now: float) -> bool:
+        """Returns whether a helper that may send a call is known."""
+        service = active_call.service
+        if self.helpers.is_paused(service, now):
+            return False
+        if len(active_call.call.body) > MAX_BODY_BYTES:
+            return False
+        regions = active_call.regions
+        return self.helpers.choose(service, regions, (), False, now) is not None
+
     async def send(
-        self, active_call: calls.ActiveCall
+        self, active_call: calls.ActiveCall, claim: Claim
     ) -> relaymessages.RelayResponse | None:
         """Has a call sent to one upstream by a helper.
 
+        Args:
+            active_call: The call.
+            claim: Takes the right to send the call once more; returns whether
+                that is allowed.
+
         Returns:
             The helper's response, or None if the call may have been executed
             and its outcome is unknown.
@@ -106,7 +140,7 @@
         if len(active_call.call.body) > MAX_BODY_BYTES:
             raise NoHelpError("the body is too large to be relayed", False)
         asked: set[str] = set()
-        unreached_count = 0
+        unreached: set[str] = set()
         while len(asked) < MAX_ASKED:
             helper = self.helpers.choose(
                 service,
@@ -118,20 +152,23 @@
             if helper is None:
                 break
             asked.add(helper.name)
-            response = await self._ask(active_call, helper)
+            response = await self._ask(active_call, helper, claim)
             if response is None:
                 return None
             if response.outcome not in relaymessages.NOT_SENT_OUTCOMES:
                 if response.upstream:
                     self._record_help(service)
                 return response
-            unreached_count += response.outcome == relaymessages.NOT_REACHED
-        is_unreached = 0 < unreached_count == len(asked)
-        if is_unreached:
+            if response.outcome == relaymessages.NOT_REACHED:
+                unreached.add(helper.name)
+        is_unreached = len(unreached) == MAX_ASKED or not (
+            self.helpers.may_reach(service, active_call.regions, self.now())
+        )
+        if unreached and is_unreached:
             self.helpers.record_no_help(service, self.now())
         raise NoHelpError(
             f"no other VM sends the call: {len(asked)} asked, "
-            f"{unreached_count} do not reach the service",
+            f"{len(unreached)} do not reach the service",
             is_unreached,
         )
 
@@ -141,13 +178,20 @@
         self.reach_watch.reach(service).record_help(self.now())
 
     async def _ask(
-        self, active_call: calls.ActiveCall, helper: controlmessages.EntryVm
+        self,
+        active_call: calls.ActiveCall,
+        helper: controlmessages.EntryVm,
+        claim: Claim,
     ) -> relaymessages.RelayResponse | None:
         """Gives a call to one helper.
 
         Returns:
             The response, also for a helper that cannot be asked; None if the
             call may have been executed.
+
+        Raises:
+            NoHelpError: The call's time is over before a helper is reached.
+            RefusedError: No answer came before the deadline.
         """
         started_at = self.now()
         left_seconds = active_call.deadline - started_at
@@ -157,8 +201,16 @@
         self.helpers.begin(helper.name)
         outcome = "cancelled"
         try:
-            response = await self._call(active_call, helper, left_seconds)
+            response = await self._call(
+                active_call, helper, left_seconds, claim
+            )
             outcome = "broken" if response is None else response.outcome
+        except NoHelpError:
+            outcome = "no-time"
+            raise
+        except SilentError:
+            outcome = "silent"
+            return None
         except errors.RefusedError:
             outcome = "no-answer-in-time"
             raise
@@ -175,18 +227,20 @@
         active_call: calls.ActiveCall,
         helper: controlmessages.EntryVm,
         left_seconds: float,
+        claim: Claim,
     ) -> relaymessages.RelayResponse | None:
         address = helper.relay_address
-        if not await self.peers.connect(
+        is_connected = await self.peers.connect(
             address, min(CONNECT_SECONDS, left_seconds)
-        ):
+        )
+        left_seconds = active_call.deadline - self.now()
+        if left_seconds < MIN_LEFT_SECONDS:
+            raise NoHelpError("no time is left to reach another VM", False)
+        if not is_connected:
             self.helpers.avoid(
                 helper.name, helpers.UNCONNECTED_SECONDS, self.now()
             )
             return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
-        left_seconds = active_call.deadline - self.now()
-        if left_seconds <= 0:
-            return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
         self.log.emit_often(
             "relaying",
             request=active_call.call.id,
@@ -195,9 +249,15 @@
             left_seconds=left_seconds,
         )
         request = relaymessages.from_active_call(active_call, left_seconds)
+        started_at = self.now()
         try:
-            response: relaymessages.RelayResponse = await self.peers.call(
-                address, relaymessages.RELAY, request, left_seconds
+            response = await self._wait(
+                active_call,
+                helper,
+                claim,
+                self.peers.call(
+                    address, relaymessages.RELAY, request, left_seconds
+                ),
             )
         except errors.UnreachableError as error:
             if error.outcome in NOT_RECEIVED:
@@ -209,8 +269,73 @@
                     "unknown",
                 ) from error
             return None
+        self.helper_watch.record_heard(helper.name)
+        if response.outcome == relaymessages.REPLIED:
+            self.helper_watch.record_reply(
+                active_call.named_route.name, self.now() - started_at
+            )
         return response
 
+    async def _wait(
+        self,
+        active_call: calls.ActiveCall,
+        helper: controlmessages.EntryVm,
+        claim: Claim,
+        exchange: Coroutine[Any, Any, relaymessages.RelayResponse],
+    ) -> relaymessages.RelayResponse:
+        """Returns a helper's response.
+
+        Raises:
+            SilentError: The helper answers nothing, and the call may be sent
+                once more.
+            UnreachableError: There is no valid response.
+        """
+        route = active_call.named_route.name
+        response = asyncio.create_task(exchange)
+        try:
+            while not response.done():
+                # A frozen helper is found out before the call's time is over.
+                half_seconds = (active_call.deadline - self.now()) / 2
+                patience_seconds = min(
+                    self.helper_watch.patience_seconds(route),
+                    max(MIN_PATIENCE_SECONDS, half_seconds),
+                )
+                await asyncio.wait({response}, timeout=patience_seconds)
+                if not await self._is_silent(helper, response):
+                    continue
+                if active_call.may_run_twice() and claim(active_call):
+                    raise SilentError
+            return response.result()
+        finally:
+            response.cancel()
+
+    async def _is_silent(
+        self, helper: controlmessages.EntryVm, response: asyncio.Task[Any]
+    ) -> bool:
+        """Returns whether a helper answers nothing.
+
+        Ends with the response at the latest.
+        """
+        check = asyncio.create_task(self.helper_watch.is_silent(helper))
+        try:
+            await asyncio.wait(
+                {response, check}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return not response.done() and check.result()
+        finally:
+            check.cancel()
+
+    def _record_silent(self, helper: controlmessages.EntryVm) -> None:
+        """Avoids a helper that answers nothing."""
+        now = self.now()
+        if not self.helpers.is_avoided(helper.name, now):
+            self.log.emit_often(
+                "helper-silent",
+                helper=helper.name,
+                in_flight=self.helpers.in_flight.get(helper.name, 0),
+            )
+        self.helpers.avoid(helper.name, helpers.BROKEN_SECONDS, now)
+
     def _learn(self, service: str, name: str, outcome: str) -> None:
         """Remembers what the outcome of a call says about its helper."""
         now = self.now()
@@ -219,7 +344,7 @@
         elif outcome == relaymessages.NO_CAPACITY:
             if not self.helpers.is_avoided(name, now):
                 self.helpers.avoid(name, helpers.NO_CAPACITY_SECONDS, now)
-        elif outcome in ("broken", "no-answer-in-time"):
+        elif outcome == "broken":
             self.helpers.avoid(name, helpers.BROKEN_SECONDS, now)
 
     def _record(
@@ -267,68 +392,3 @@
     client.traffic = peer_client.traffic
     known_helpers = helpers.Helpers(name, region)
     return Relayer(log, now, client, known_helpers, reach_watch, relays)
-
-
-def apply(
-    active_call: calls.ActiveCall,
-    response: relaymessages.RelayResponse | None,
-) -> calls.Reply | None:
-    """Records a helper's response in a call, as if this VM had sent it.
-
-    Args:
-        active_call: The call.
-        response: The response, or None if the outcome is unknown.
-
-    Returns:
-        The reply if it is final; None if the call may be sent again.
-
-    Raises:
-        RefusedError: The call was refused.
-    """
-    if response is None:
-        _record_unknown(active_call, "the connection to another VM broke")
-        return None
-    if response.upstream:
-        active_call.tried.add(response.upstream)
-        active_call.received_by.add(response.upstream)
-    if response.reply is not None:
-        active_call.deliveries += 1
-        active_call.executions += 1
-        reply = relaymessages.to_reply(response.reply)
-        if reply.status < 500:
-            return reply
-        active_call.reply = reply
-        return None
-    _apply_refusal(active_call, response)
-    return None
-
-
-def _apply_refusal(
-    active_call: calls.ActiveCall, response: relaymessages.RelayResponse
-) -> None:
-    if response.refusal is None:
-        _record_unknown(active_call, "another VM gave no valid answer")
-        return
-    refusal = relaymessages.to_refusal(response.refusal)
-    active_call.is_risky |= response.is_risky
-    if response.executions:
-        active_call.deliveries += 1
-        active_call.executions += 1
-        active_call.refusal = refusal
-        if refusal.kind == errors.Kind.DEADLINE:
-            raise errors.RefusedError(refusal)
-        return
-    if not active_call.executions:
-        active_call.refusal = refusal
-    if not response.upstream:
-        raise errors.RefusedError(active_call.refusal or refusal)
-    active_call.deliveries += 1
-
-
-def _record_unknown(active_call: calls.ActiveCall, why: str) -> None:
-    """Records that an upstream may have executed a call."""
-    active_call.deliveries += 1
-    active_call.executions += 1
-    active_call.refusal = errors.Refusal(
-        errors.Kind.UPSTREAM_FAILED, why, "unknown"
-    )
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -25,6 +25,7 @@
 from pollenseam import suspects
 from pollenseam import upstreamstats
 from pollenseam import vm
+from pollenseam import waits
 
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
@@ -54,6 +55,8 @@
         reach_watch: Follows which services this VM reaches.
         evaluate_failure: Returns the reply of a call whose last attempt got a
             5xx status, or None if the call may be sent again.
+        claim_second_run: Takes a retry for a call that waits for a reply;
+            returns whether the call may be sent once more.
         session: HTTP client session for all upstreams.
     """
 
@@ -67,6 +70,7 @@
         crash_watch: crashwatch.CrashWatch,
         reach_watch: reachwatch.ReachWatch,
         evaluate_failure: Callable[[calls.ActiveCall], calls.Reply | None],
+        claim_second_run: Callable[[calls.ActiveCall], bool],
     ) -> None:
         self.protocol = protocol
         self.log = log
@@ -78,6 +82,7 @@
         self.crash_watch = crash_watch
         self.reach_watch = reach_watch
         self.evaluate_failure = evaluate_failure
+        self.claim_second_run = claim_second_run
         self.session = sessions.open_session(
             CONNECT_SECONDS, KEEP_ALIVE_SECONDS, connects.trace_config()
         )
@@ -106,7 +111,10 @@
             async with asyncio.timeout_at(
                 vm.loop_deadline(active_call.deadline)
             ):
-                response = await self._send_request(active_call, upstream)
+                async with self.reach_watch.watching(
+                    active_call, choice, self.claim_second_run
+                ):
+                    response = await self._send_request(active_call, upstream)
                 return await self._read_reply(
                     active_call, choice, response, started
                 )
@@ -129,6 +137,16 @@
                 errors.Kind.NO_ROOM, "the upstream is unreachable", "no"
             )
             return None
+        except waits.AbandonedError:
+            upstream.record_unreachable(self.now())
+            self.attempt_log.record_unknown(
+                active_call,
+                upstream,
+                "abandoned",
+                started,
+                "this VM lost its way to the upstreams",
+            )
+            return None
         except TimeoutError:
             self._record_timeout(upstream, response is not None)
             self.attempt_log.record_attempt(
@@ -150,7 +168,9 @@
                 self._record_break(active_call, upstream.record)
             if getattr(error, "errno", None) in NO_PATH_ERRORS:
                 self._record_connect_failed(active_call, upstream, error)
-            self._record_broken(active_call, upstream, started, repr(error))
+            self.attempt_log.record_unknown(
+                active_call, upstream, "broken", started, repr(error)
+            )
             return None
 
     def _record_connect_failed(
@@ -186,25 +206,6 @@
         elif upstream.is_unreachable(now):
             upstream.record_unreachable(now)
 
-    def _record_broken(
-        self,
-        active_call: calls.ActiveCall,
-        upstream: upstreamstats.UpstreamStats,
-        started: float,
-        why: str,
-    ) -> None:
-        """Records an attempt that may have run but got no valid reply."""
-        active_call.deliveries += 1
-        active_call.executions += 1
-        active_call.refusal = errors.Refusal(
-            errors.Kind.UPSTREAM_FAILED,
-            "the upstream broke the connection",
-            "unknown",
-        )
-        self.attempt_log.record_attempt(
-            active_call, upstream, "broken", started, why
-        )
-
     async def _send_request(
         self,
         active_call: calls.ActiveCall,
@@ -237,11 +238,12 @@
         """Records the connection that a call gets to an upstream.
 
         Raises:
-            PreventedError: This VM reaches no upstream, so that a connection
-                would only cost time.
+            PreventedError: This VM seems to reach no upstream, and another one
+                may send the call.
         """
         if kind == connects.OPENING:
-            if self.reach_watch.reach(active_call.service).is_unreached:
+            reach = self.reach_watch.reach(active_call.service)
+            if reach.is_unreached and not active_call.is_helpless:
                 raise connects.PreventedError
             return
         active_call.connection = kind
@@ -274,7 +276,7 @@
                 response.release()
             else:
                 response.close()
-        self.reach_watch.record_reply(active_call.service)
+        self.reach_watch.record_reply(active_call.service, upstream.record.id)
         now = self.now()
         if head.running >= 0:
             upstream.record_load_report(head.running, head.waiting, now)
@@ -283,17 +285,22 @@
             upstream.others_in_flight = max(0.0, upstream.others_in_flight + 1)
         if head.is_replaced:
             upstream.record_unreachable(now)
-            self._record_not_run(active_call, upstream, "replaced", started)
+            self.attempt_log.record_not_run(
+                active_call, upstream, "replaced", started
+            )
             return None
         if head.is_not_run:
             upstream.record_shed(now)
-            self._record_not_run(active_call, upstream, "shed", started)
+            self.attempt_log.record_not_run(
+                active_call, upstream, "shed", started
+            )
             return None
         if not head.matches_request:
             upstream.record_error(now)
-            self._record_broken(
+            self.attempt_log.record_unknown(
                 active_call,
                 upstream,
+                "broken",
                 started,
                 "the reply does not match the request",
             )
@@ -303,23 +310,6 @@
         )
         return self._evaluate_reply(active_call, choice, reply, started)
 
-    def _record_not_run(
-        self,
-        active_call: calls.ActiveCall,
-        upstream: upstreamstats.UpstreamStats,
-        outcome: str,
-        started: float,
-    ) -> None:
-        """Records an attempt that the upstream declared as not executed."""
-        active_call.deliveries += 1
-        if not active_call.executions:
-            active_call.refusal = errors.Refusal(
-                errors.Kind.NO_ROOM, "the upstream has no room", "no"
-            )
-        self.attempt_log.record_attempt(
-            active_call, upstream, outcome, started, ""
-        )
-
     def _evaluate_reply(
         self,
         active_call: calls.ActiveCall,
--- a/tests/cuts.py
+++ b/tests/cuts.py
@@ -136,6 +136,7 @@
             machine.environment = {
                 "CUT_FILE": str(control_file),
                 "SOURCE_IP": machine.ip,
+                "CONTROL_IPS": " ".join(self.seeds),
                 "UPSTREAM_IP": f"{self.address_prefix}.{UPSTREAM_HOST}",
                 "PYTHONPATH": os.pathsep.join(filter(None, folders)),
             }
@@ -164,6 +165,11 @@
             elif kept == "reset":
                 server.proxy.reset(machine.ip)
 
+    def cut_from_control(self, entry_index):
+        """Cuts an entry VM off from all control VMs as well."""
+        file = self.control_files[self.entry_vms[entry_index].name]
+        file.write_text(file.read_text() + "hang CONTROL\n")
+
     def heal(self, entry_index):
         machine = self.entry_vms[entry_index]
         self.control_files[machine.name].write_text("")
@@ -198,3 +204,13 @@
 
 async def is_served(cluster, entry_index):
     return (await cluster.request(entry_index=entry_index))[0] == 200
+
+
+def runs_by_id(cluster):
+    """Returns how often each request was run, by its id."""
+    counts = {}
+    for server in cluster.servers:
+        for _, _, headers in server.received_requests:
+            id = headers["X-Request-Id"]
+            counts[id] = counts.get(id, 0) + 1
+    return counts
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -11,6 +11,8 @@
 from pollenseam import controlmessages
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import helpers
+from pollenseam import helperwatch
 from pollenseam import peers
 from pollenseam import registry
 from pollenseam import relayhelper
@@ -38,20 +40,28 @@
         answer: Answers one call.
         received: Calls received.
         cancelled: Number of calls that were cancelled.
+        is_frozen: Whether it gives no sign of life either.
     """
 
     def __init__(self, answer):
         self.answer = answer
         self.received = []
         self.cancelled = 0
+        self.is_frozen = False
         self.server = peers.Server(events.LogicalClock(), traffic.Traffic())
 
     async def start(self):
         port = fleet.free_port()
         self.port = port
         self.server.handle(relaymessages.RELAY, self.handle)
+        self.server.handle(relaymessages.CHECK, self.handle_check)
         await self.server.start(f"127.0.0.1:{port}")
 
+    async def handle_check(self, message):
+        if self.is_frozen:
+            await asyncio.sleep(60)
+        return peers.Empty()
+
     async def handle(self, message):
         self.received.append(message)
         try:
@@ -195,6 +205,68 @@
             assert sends == 1 + is_idempotent
 
 
+@pytest.mark.parametrize(
+    ("is_frozen", "is_idempotent", "retry_slack", "is_served"),
+    [
+        (True, True, 100.0, True),
+        (True, True, 0.0, False),
+        (True, False, 100.0, False),
+        (False, True, 100.0, False),
+    ],
+)
+async def test_only_idempotent_calls_leave_a_helper_and_only_a_frozen_one(
+    is_frozen, is_idempotent, retry_slack, is_served
+):
+    """Guards against calls that a frozen helper holds until their deadline.
+
+    A helper that is alive may wait for a slow upstream.
+    """
+    async with cut_off_vm(
+        never_answers,
+        answering(replied(200)),
+        is_idempotent=is_idempotent,
+        retry_slack=retry_slack,
+    ) as (entry_vm, [first, second]):
+        entry_vm.table.find_route("h", "/a/1").route.max_attempts = 2
+        entry_vm.relayer.helpers.entries["h1"].region = "r2"
+        first.is_frozen = is_frozen
+        answer = await serve(entry_vm, seconds=2.0)
+        assert len(first.received) == 1
+        assert len(second.received) == is_served
+        if is_served:
+            assert answer.status == 200
+            while not first.cancelled:
+                await asyncio.sleep(0.01)
+        else:
+            assert (answer.kind, answer.executed) == (
+                errors.Kind.DEADLINE,
+                "unknown",
+            )
+        avoided = entry_vm.relayer.helpers.is_avoided("h0", entry_vm.now())
+        assert avoided == is_frozen or not is_served
+
+
+async def test_a_check_of_a_helper_holds_no_call_beyond_its_time(monkeypatch):
+    """Guards against calls that end late while their helper is asked."""
+    monkeypatch.setattr(helperwatch, "CHECK_SECONDS", 5.0)
+    async with cut_off_vm(never_answers) as (entry_vm, [helper]):
+        helper.is_frozen = True
+        deadline = entry_vm.now() + 1.0
+        assert (await serve(entry_vm, 1.0)).kind == errors.Kind.DEADLINE
+        assert entry_vm.now() <= deadline + 0.5
+
+
+def test_the_patience_with_a_route_follows_the_time_it_takes():
+    """Guards against a fixed time, too short or too long for some route."""
+    watch = helperwatch.HelperWatch(None, lambda: 0.0, None)
+    assert watch.patience_seconds("r") == helperwatch.FIRST_PATIENCE_SECONDS
+    for seconds in [1.0, 1.2, 0.8] * 20:
+        watch.record_reply("r", seconds)
+        watch.record_reply("quick", seconds / 100)
+    assert 1.2 < watch.patience_seconds("r") < 2.5
+    assert watch.patience_seconds("quick") == helperwatch.MIN_PATIENCE_SECONDS
+
+
 async def test_a_second_send_takes_from_the_one_retry_budget():
     """Guards against helpers that retry beyond the budget of the fleet."""
     shed = answering(
@@ -214,6 +286,27 @@
         assert helper.received[1].tried == ["i9"]
 
 
+@pytest.mark.parametrize(
+    ("retry_slack", "helper_count", "is_claimed"),
+    [(100.0, 1, True), (0.0, 1, False), (100.0, 0, False)],
+)
+async def test_a_call_that_waits_is_sent_again_only_with_retry_and_helper(
+    retry_slack, helper_count, is_claimed
+):
+    """Guards against calls that are given up with no way to go on."""
+    answers = [answering(replied(200))] * helper_count
+    async with cut_off_vm(*answers, retry_slack=retry_slack) as (entry_vm, _):
+        dispatcher = entry_vm.dispatcher
+        active_call = entry_vm._admit(test_rogue_upstreams.make_call(entry_vm))
+        active_call.deliveries = 1
+        assert dispatcher._claim_second_run(active_call) == is_claimed
+        spent = dispatcher._budget("s1").retry_counts.total()
+        assert spent == is_claimed
+        if is_claimed:
+            dispatcher._spend_retry(active_call, entry_vm.now())
+            assert dispatcher._budget("s1").retry_counts.total() == 1
+
+
 async def test_a_caller_that_leaves_ends_the_relayed_call():
     """Guards against upstreams that work for callers who are gone."""
     async with cut_off_vm(never_answers) as (entry_vm, [helper]):
@@ -259,6 +352,86 @@
         assert not entry_vm.own_record.is_cut_off
 
 
+async def test_a_call_whose_time_is_over_takes_no_helper_from_the_others():
+    """Guards against 503 for all because one upstream was slow for one call.
+
+    The helper answers other calls all the while.
+    """
+
+    async def skips_the_first(helper):
+        if len(helper.received) == 1:
+            await never_answers(helper)
+        return replied(200)
+
+    async with cut_off_vm(skips_the_first) as (entry_vm, _):
+        slow = asyncio.create_task(serve(entry_vm, seconds=0.4))
+        await asyncio.sleep(0.2)
+        assert (await serve(entry_vm)).status == 200
+        assert (await slow).kind == errors.Kind.DEADLINE
+        assert (await serve(entry_vm)).status == 200
+
+
+async def test_a_frozen_helper_is_found_out_by_calls_with_little_time():
+    """Guards against a frozen helper that goes on getting short calls."""
+    async with cut_off_vm(never_answers) as (entry_vm, [helper]):
+        helper.is_frozen = True
+        assert (await serve(entry_vm, 0.5)).kind == errors.Kind.DEADLINE
+        known = entry_vm.relayer.helpers
+        async with asyncio.timeout(5):
+            while not known.is_avoided("h0", entry_vm.now()):
+                await asyncio.sleep(0.01)
+
+
+async def test_a_call_without_time_takes_no_helper_from_the_others():
+    """Guards against a helper that counts as out of reach as nobody waited."""
+    async with cut_off_vm(answering(replied(200))) as (entry_vm, _):
+        entry_vm.reach_watch.record_connect_failed("s1", "i1", 1, "refused")
+        assert (await serve(entry_vm, seconds=0.001)).executed == "no"
+        assert (await serve(entry_vm)).status == 200
+
+
+async def test_a_service_pauses_only_if_all_helpers_say_they_do_not_reach_it():
+    """Guards against 503 for up to 4 s while a helper that serves is at hand.
+
+    One helper does not reach the service, the other has no capacity for 0.3 s.
+    """
+    down = answering(relaymessages.RelayResponse("not-reached"))
+    async with cut_off_vm(down, answering(replied(200))) as (entry_vm, _):
+        known = entry_vm.relayer.helpers
+        known.avoid("h1", helpers.NO_CAPACITY_SECONDS, entry_vm.now())
+        assert (await serve(entry_vm)).executed == "no"
+        while known.is_avoided("h1", entry_vm.now()):
+            await asyncio.sleep(0.01)
+        assert (await serve(entry_vm)).status == 200
+
+
+async def test_callers_come_back_when_the_only_helper_may_be_asked_again():
+    """Guards against a herd at VMs whose helper has no capacity.
+
+    Where most VMs are not cut off, callers are served by these at once.
+    """
+    full = answering(relaymessages.RelayResponse("no-capacity"))
+    ok = answering(replied(200))
+    async with cut_off_vm(full, ok, ok) as (entry_vm, [helper, *_]):
+        known = entry_vm.relayer.helpers
+        for name in ("h1", "h2"):
+            known.entries[name].is_cut_off = True
+        for _ in range(5):
+            refusal = await serve(entry_vm)
+            assert (refusal.kind, refusal.executed) == (
+                errors.Kind.NO_ROOM,
+                "no",
+            )
+            left = known.avoided_until["h0", ""] - entry_vm.now()
+            assert left <= refusal.retry_after <= helpers.NO_CAPACITY_SECONDS
+        assert len(helper.received) == 1
+        known.entries["h1"].is_cut_off = False
+        known.avoid("h1", 1.0, entry_vm.now())
+        known.entries["h2"].is_cut_off = False
+        known.avoid("h2", 1.0, entry_vm.now())
+        assert (await serve(entry_vm)).retry_after == 0.05
+
+
 # The helper.
 
 
