--- a/src/pollenseam/helpers.py
+++ b/src/pollenseam/helpers.py
@@ -30,6 +30,8 @@
         in_flight: Calls of this VM that a helper is sending, by its name.
         avoided_until: Time until which a helper is not chosen, by its name and
             the service; for all services by its name and "".
+        doubted: Names of helpers that gave no answer lately. While they are
+            avoided, they get one call at a time if there is no other helper.
         paused_until: Time until which no helper is asked, by service.
         pauses: Pauses in a row, by service.
     """
@@ -40,6 +42,7 @@
         "entries",
         "in_flight",
         "avoided_until",
+        "doubted",
         "paused_until",
         "pauses",
     )
@@ -50,6 +53,7 @@
         self.entries: dict[str, controlmessages.EntryVm] = {}
         self.in_flight: dict[str, int] = {}
         self.avoided_until: dict[tuple[str, str], float] = {}
+        self.doubted: set[str] = set()
         self.paused_until: dict[str, float] = {}
         self.pauses: dict[str, int] = {}
 
@@ -61,6 +65,7 @@
             for key, until in self.avoided_until.items()
             if key[0] in self.entries
         }
+        self.doubted &= self.entries.keys()
 
     def choose(
         self,
@@ -74,7 +79,8 @@
 
         Helpers in the region of this VM come first, except for the last one
         that is asked for a call, because the whole region may be cut off. Of
-        two random ones, the one with fewer calls of this VM is chosen.
+        two random ones, the one with fewer calls of this VM is chosen. If there
+        is none, one that is in doubt is tried.
 
         Args:
             service: Name of the service that handles the call.
@@ -83,13 +89,17 @@
             is_last: Whether no other helper will be asked for the call.
             now: Time in seconds.
         """
-        usable = [
+        allowed = [
             entry
             for entry in self.entries.values()
             if entry.name not in asked
-            and self._is_usable(entry, service, now)
+            and self._lends(entry)
             and (not regions or entry.region in regions)
         ]
+        usable = [e for e in allowed if self._is_usable(e, service, now)]
+        usable = usable or [
+            e for e in allowed if self._may_try(e, service, now)
+        ]
         near = [e for e in usable if (e.region == self.region) != is_last]
         group = near or usable
         if not group:
@@ -150,8 +160,6 @@
     def _is_usable(
         self, entry: controlmessages.EntryVm, service: str, now: float
     ) -> bool:
-        if not self._lends(entry):
-            return False
         if self.in_flight.get(entry.name, 0) >= MAX_HELD_CALLS:
             return False
         avoided = self.avoided_until
@@ -160,6 +168,31 @@
             and avoided.get((entry.name, service), 0.0) <= now
         )
 
+    def _may_try(
+        self, entry: controlmessages.EntryVm, service: str, now: float
+    ) -> bool:
+        """Returns whether a helper in doubt may get one call."""
+        if entry.name not in self.doubted or entry.name in self.in_flight:
+            return False
+        return self.avoided_until.get((entry.name, service), 0.0) <= now
+
+    def doubt(self, name: str, seconds: float, now: float) -> None:
+        """Avoids a helper that gave no answer, if there is another one.
+
+        Args:
+            name: Name of the helper.
+            seconds: Time for which it is avoided.
+            now: Time in seconds.
+        """
+        self.doubted.add(name)
+        self.avoid(name, seconds, now)
+
+    def trust(self, name: str) -> None:
+        """Ends the doubt about a helper that answered."""
+        if name in self.doubted:
+            self.doubted.remove(name)
+            self.avoided_until.pop((name, ""), None)
+
     def avoid(
         self, name: str, seconds: float, now: float, service: str = ""
     ) -> None:
--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -23,6 +23,9 @@
 from pollenseam import relaymessages
 
 CONNECT_SECONDS = 0.3
+# Time for the connection to the last helper that may be asked, at most half of
+# what the call has left.
+LAST_CONNECT_SECONDS = 1.0
 # A call with less time left is not given to a helper.
 MIN_LEFT_SECONDS = 0.005
 # Helpers that are asked for one attempt.
@@ -152,7 +155,10 @@
             if helper is None:
                 break
             asked.add(helper.name)
-            response = await self._ask(active_call, helper, claim)
+            connect_seconds = self._connect_seconds(active_call, asked)
+            response = await self._ask(
+                active_call, helper, claim, connect_seconds
+            )
             if response is None:
                 return None
             if response.outcome not in relaymessages.NOT_SENT_OUTCOMES:
@@ -172,6 +178,24 @@
             is_unreached,
         )
 
+    def _connect_seconds(
+        self, active_call: calls.ActiveCall, asked: set[str]
+    ) -> float:
+        """Returns how long the last of the asked helpers may take to connect.
+
+        A VM that is busy may take a while, so the last one gets more time.
+        """
+        now = self.now()
+        left_seconds = active_call.deadline - now
+        is_last = len(asked) == MAX_ASKED or not self.helpers.choose(
+            active_call.service, active_call.regions, asked, False, now
+        )
+        connect_seconds = CONNECT_SECONDS
+        if is_last:
+            last_seconds = min(LAST_CONNECT_SECONDS, left_seconds / 2)
+            connect_seconds = max(CONNECT_SECONDS, last_seconds)
+        return min(connect_seconds, left_seconds)
+
     def _record_help(self, service: str) -> None:
         """Records that a helper reached a service."""
         self.helpers.record_help(service)
@@ -182,9 +206,16 @@
         active_call: calls.ActiveCall,
         helper: controlmessages.EntryVm,
         claim: Claim,
+        connect_seconds: float,
     ) -> relaymessages.RelayResponse | None:
         """Gives a call to one helper.
 
+        Args:
+            active_call: The call.
+            helper: The helper.
+            claim: See `send`.
+            connect_seconds: Time that the connection may take.
+
         Returns:
             The response, also for a helper that cannot be asked; None if the
             call may have been executed.
@@ -194,7 +225,6 @@
             RefusedError: No answer came before the deadline.
         """
         started_at = self.now()
-        left_seconds = active_call.deadline - started_at
         address = helper.relay_address
         self.used_at[address] = started_at
         self.open_calls[address] += 1
@@ -202,7 +232,7 @@
         outcome = "cancelled"
         try:
             response = await self._call(
-                active_call, helper, left_seconds, claim
+                active_call, helper, claim, connect_seconds
             )
             outcome = "broken" if response is None else response.outcome
         except NoHelpError:
@@ -226,18 +256,16 @@
         self,
         active_call: calls.ActiveCall,
         helper: controlmessages.EntryVm,
-        left_seconds: float,
         claim: Claim,
+        connect_seconds: float,
     ) -> relaymessages.RelayResponse | None:
         address = helper.relay_address
-        is_connected = await self.peers.connect(
-            address, min(CONNECT_SECONDS, left_seconds)
-        )
+        is_connected = await self.peers.connect(address, connect_seconds)
         left_seconds = active_call.deadline - self.now()
         if left_seconds < MIN_LEFT_SECONDS:
             raise NoHelpError("no time is left to reach another VM", False)
         if not is_connected:
-            self.helpers.avoid(
+            self.helpers.doubt(
                 helper.name, helpers.UNCONNECTED_SECONDS, self.now()
             )
             return relaymessages.RelayResponse(relaymessages.NO_CAPACITY)
@@ -270,6 +298,7 @@
                 ) from error
             return None
         self.helper_watch.record_heard(helper.name)
+        self.helpers.trust(helper.name)
         if response.outcome == relaymessages.REPLIED:
             self.helper_watch.record_reply(
                 active_call.named_route.name, self.now() - started_at
@@ -334,7 +363,7 @@
                 helper=helper.name,
                 in_flight=self.helpers.in_flight.get(helper.name, 0),
             )
-        self.helpers.avoid(helper.name, helpers.BROKEN_SECONDS, now)
+        self.helpers.doubt(helper.name, helpers.BROKEN_SECONDS, now)
 
     def _learn(self, service: str, name: str, outcome: str) -> None:
         """Remembers what the outcome of a call says about its helper."""
@@ -345,7 +374,7 @@
             if not self.helpers.is_avoided(name, now):
                 self.helpers.avoid(name, helpers.NO_CAPACITY_SECONDS, now)
         elif outcome == "broken":
-            self.helpers.avoid(name, helpers.BROKEN_SECONDS, now)
+            self.helpers.doubt(name, helpers.BROKEN_SECONDS, now)
 
     def _record(
         self,
--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -94,6 +94,21 @@
     assert choose(known, now=1.0) == "near"
 
 
+def test_the_only_helper_left_is_tried_although_it_gave_no_answer():
+    """Guards against callers that are refused though a VM can serve them."""
+    known = make_helpers(entry("near"), entry("far", "r2"))
+    known.doubt("near", 1.0, 0.0)
+    assert choose(known) == "far"
+    known.avoid("far", 1.0, 0.0)
+    assert choose(known) == "near"
+    known.begin("near")
+    assert choose(known) is None
+    known.end("near")
+    known.trust("near")
+    known.begin("near")
+    assert choose(known) == "near"
+
+
 def test_the_pauses_grow_while_no_helper_reaches_a_service():
     """Guards against a herd of relays for a service that is down."""
     known = make_helpers(entry("near"))
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -539,3 +539,21 @@
     entry_vm.reach_watch.close()
     await entry_vm.dispatcher.close()
     assert min(rates) > 0
+
+
+async def test_the_last_helper_gets_more_time_to_connect():
+    """Guards against a call that is denied as the VM that is left is busy."""
+    replies = answering(replied(200))
+    async with cut_off_vm(replies, replies, replies) as (entry_vm, scripted):
+        waited = []
+
+        async def connect_slowly(address, seconds):
+            waited.append(seconds)
+            await asyncio.sleep(min(seconds, 0.5))
+            return seconds >= 0.5
+
+        entry_vm.relayer.peers.connect = connect_slowly
+        assert (await serve(entry_vm, seconds=3.0)).status == 200
+        assert len(waited) == 3
+        assert max(waited[:2]) <= relaying.CONNECT_SECONDS
+        assert relaying.LAST_CONNECT_SECONDS >= waited[2] > 0.5
