--- /dev/null
+++ b/src/pollenseam/exchangesending.py
@@ -0,0 +1,173 @@
+"""Sends a request to one upstream and waits for the head of the response."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import yarl
+
+from pollenseam import crashwatch
+from pollenseam import errors
+from pollenseam import exchanges
+from pollenseam import headers
+from pollenseam import sessions
+from pollenseam import traces
+from pollenseam import upstreams
+from pollenseam import vm
+
+CHUNK_BYTES = 64 * 1024
+
+
+class ExchangeSender:
+    """Sends requests to upstreams, each attempt to one of them.
+
+    Attributes:
+        vm: State of this VM: settings, directory, upstreams and metrics.
+        crash_watch: Finds out which upstreams ended with requests of this VM.
+        session: HTTP client session for all upstreams.
+    """
+
+    def __init__(
+        self, local_vm: vm.Vm, crash_watch: crashwatch.CrashWatch
+    ) -> None:
+        self.vm = local_vm
+        self.crash_watch = crash_watch
+        self.session = sessions.open_session()
+
+    async def close(self) -> None:
+        """Closes all connections to upstreams."""
+        self.crash_watch.close()
+        await self.session.close()
+
+    async def request(
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
+    ) -> aiohttp.ClientResponse:
+        """Sends a request to the upstream of a reservation.
+
+        Returns:
+            The response; its head has been received.
+
+        Raises:
+            RefusedError: The upstream sent no response, or the streamed body
+                was too large or incomplete.
+        """
+        pool = self.vm.pool(reservation.service)
+        was_sent = exchange.is_sent
+        name = reservation.upstream.record.name
+        if self.vm.trace.is_on:
+            self._trace_sent(exchange, reservation)
+        # From here on a byte may reach the upstream, unless connecting fails.
+        exchange.is_sent = True
+        try:
+            return await self._send_request(exchange, reservation)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            exchange.is_sent = was_sent
+            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
+            exchange.tried.add(name)
+            raise _upstream_failure(exchange, "is unreachable") from error
+        except (aiohttp.ClientError, OSError) as error:
+            if exchange.body_refusal is not None:
+                raise errors.RefusedError(exchange.body_refusal) from error
+            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
+            exchange.tried.add(name)
+            self._record_break(exchange, reservation.upstream)
+            raise _upstream_failure(exchange, "broke the connection") from error
+
+    def _trace_sent(
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
+    ) -> None:
+        upstream = reservation.upstream
+        now = self.vm.now()
+        self.vm.trace.add(
+            traces.Sent(
+                now,
+                upstream.record.name,
+                upstream.record.state,
+                int((upstream.deadline - now) * 1000),
+                upstream.in_flight,
+                upstream.record.slots,
+                exchange.claim,
+                exchange.attempt,
+            )
+        )
+
+    async def _send_request(
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
+    ) -> aiohttp.ClientResponse:
+        request = exchange.request
+        forwarded = headers.to_upstream(request.headers, exchange.key)
+        if exchange.workspace:
+            forwarded[headers.WORKSPACE] = exchange.workspace.rpartition("/")[2]
+        left_ms = int((exchange.deadline - self.vm.now()) * 1000)
+        forwarded[headers.TIMEOUT] = str(max(1, left_ms))
+        forwarded["Host"] = request.headers["Host"]
+        data: bytes | AsyncIterator[bytes] | None = exchange.body or None
+        if exchange.body is None:
+            data = self._stream_body(exchange)
+            length = request.content_length
+            if length is not None:
+                forwarded["Content-Length"] = str(length)
+        address = reservation.upstream.record.address
+        return await self.session.request(
+            request.method,
+            yarl.URL(f"http://{address}{exchange.target}", encoded=True),
+            headers=forwarded,
+            data=data,
+            allow_redirects=False,
+        )
+
+    async def _stream_body(
+        self, exchange: exchanges.Exchange
+    ) -> AsyncIterator[bytes]:
+        limit = exchange.route.service.max_body_bytes
+        size = 0
+        try:
+            async for chunk in exchange.request.content.iter_chunked(
+                CHUNK_BYTES
+            ):
+                size += len(chunk)
+                if size > limit:
+                    raise _too_large(limit)
+                yield chunk
+        except errors.RefusedError as error:
+            exchange.body_refusal = error.refusal
+            raise
+        except (aiohttp.ClientError, OSError) as error:
+            exchange.body_refusal = errors.Refusal(
+                errors.Kind.MALFORMED,
+                "the body is incomplete",
+                executed="unknown",
+            )
+            raise errors.RefusedError(exchange.body_refusal) from error
+
+    def _record_break(
+        self, exchange: exchanges.Exchange, upstream: upstreams.Upstream
+    ) -> None:
+        """Records that the connection broke after a request was sent."""
+        exchange.breaks += 1
+        record = upstream.record
+        if not exchange.fingerprint:
+            return
+        start = crashwatch.UpstreamStart(
+            record.name, record.incarnation, record.service, record.address
+        )
+        self.crash_watch.record_break(exchange.fingerprint, start)
+
+
+def _too_large(limit: int) -> errors.RefusedError:
+    return errors.refuse(
+        errors.Kind.BODY_TOO_LARGE,
+        f"the body is larger than {limit} bytes",
+        executed="unknown",
+    )
+
+
+def _upstream_failure(
+    exchange: exchanges.Exchange, what: str
+) -> errors.RefusedError:
+    executed = "unknown" if exchange.is_sent else "no"
+    return errors.refuse(
+        errors.Kind.UPSTREAM_FAILED, f"the upstream {what}", executed=executed
+    )
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -1,26 +1,19 @@
 """Forwards requests to upstreams, with retries, and returns the responses."""
 
 import asyncio
-from collections.abc import AsyncIterator
-
-import aiohttp
-import yarl
 
 from pollenseam import admission
 from pollenseam import catalog
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import exchanges
-from pollenseam import headers
+from pollenseam import exchangesending
 from pollenseam import lifecycles
-from pollenseam import sessions
 from pollenseam import shifts
-from pollenseam import traces
 from pollenseam import upstreams
 from pollenseam import vm
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
-CHUNK_BYTES = 64 * 1024
 MAX_ATTEMPTS = 3
 # A request is sent once more after the connection broke; it may be what crashes
 # the upstreams.
@@ -41,8 +34,7 @@
         admission: Grants rate tokens and slots on upstreams.
         retry_budgets: Retry budgets by service path.
         active_shifts: State of running shifts by path.
-        session: HTTP client session for all upstreams.
-        crash_watch: Finds out which upstreams ended with requests of this VM.
+        sender: Sends requests to upstreams.
     """
 
     def __init__(
@@ -52,15 +44,16 @@
         self.admission = admission_control
         self.retry_budgets: dict[str, upstreams.RetryBudget] = {}
         self.active_shifts: dict[str, shifts.ActiveShift] = {}
-        self.session = sessions.open_session()
-        self.crash_watch = crashwatch.CrashWatch(
-            local_vm.log, local_vm.now, self._record_crash, self._is_leaving
+        self.sender = exchangesending.ExchangeSender(
+            local_vm,
+            crashwatch.CrashWatch(
+                local_vm.log, local_vm.now, self._record_crash, self._is_leaving
+            ),
         )
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
-        self.crash_watch.close()
-        await self.session.close()
+        await self.sender.close()
 
     async def send(
         self, exchange: exchanges.Exchange
@@ -112,19 +105,6 @@
         self.vm.fleet_view.watchlist.record_crash(run)
         self.vm.lease_wake.set()
 
-    def _record_break(
-        self, exchange: exchanges.Exchange, upstream: upstreams.Upstream
-    ) -> None:
-        """Records that the connection broke after a request was sent."""
-        exchange.breaks += 1
-        record = upstream.record
-        if not exchange.fingerprint:
-            return
-        start = crashwatch.UpstreamStart(
-            record.name, record.incarnation, record.service, record.address
-        )
-        self.crash_watch.record_break(exchange.fingerprint, start)
-
     def _may_retry(
         self, exchange: exchanges.Exchange, budget: upstreams.RetryBudget
     ) -> bool:
@@ -219,7 +199,7 @@
     ) -> exchanges.StreamingResponse:
         was_sent = exchange.is_sent
         try:
-            response = await self._request(exchange, reservation)
+            response = await self.sender.request(exchange, reservation)
         except asyncio.CancelledError:
             self._record_timeout(exchange, reservation)
             self.admission.release_slot(
@@ -246,52 +226,6 @@
         )
         self.admission.release_slot(reservation.service, reservation.upstream)
 
-    async def _request(
-        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
-    ) -> aiohttp.ClientResponse:
-        pool = self.vm.pool(reservation.service)
-        was_sent = exchange.is_sent
-        name = reservation.upstream.record.name
-        if self.vm.trace.is_on:
-            self._trace_sent(exchange, reservation)
-        # From here on a byte may reach the upstream, unless connecting fails.
-        exchange.is_sent = True
-        try:
-            return await self._send_request(exchange, reservation)
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            exchange.is_sent = was_sent
-            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
-            exchange.tried.add(name)
-            raise _upstream_failure(exchange, "is unreachable") from error
-        except (aiohttp.ClientError, OSError) as error:
-            if exchange.body_refusal is not None:
-                raise errors.RefusedError(exchange.body_refusal) from error
-            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
-            exchange.tried.add(name)
-            self._record_break(exchange, reservation.upstream)
-            raise _upstream_failure(exchange, "broke the connection") from error
-
-    def _trace_sent(
-        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
-    ) -> None:
-        upstream = reservation.upstream
-        now = self.vm.now()
-        self.vm.trace.add(
-            traces.Sent(
-                now,
-                upstream.record.name,
-                upstream.record.state,
-                int((upstream.deadline - now) * 1000),
-                upstream.in_flight,
-                upstream.record.slots,
-                exchange.claim,
-                exchange.attempt,
-            )
-        )
-
     def _record_timeout(
         self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
     ) -> None:
@@ -305,55 +239,6 @@
                 reservation.upstream, elapsed_seconds, self.vm.now()
             )
 
-    async def _send_request(
-        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
-    ) -> aiohttp.ClientResponse:
-        request = exchange.request
-        forwarded = headers.to_upstream(request.headers, exchange.key)
-        if exchange.workspace:
-            forwarded[headers.WORKSPACE] = exchange.workspace.rpartition("/")[2]
-        left_ms = int((exchange.deadline - self.vm.now()) * 1000)
-        forwarded[headers.TIMEOUT] = str(max(1, left_ms))
-        forwarded["Host"] = request.headers["Host"]
-        data: bytes | AsyncIterator[bytes] | None = exchange.body or None
-        if exchange.body is None:
-            data = self._stream_body(exchange)
-            length = request.content_length
-            if length is not None:
-                forwarded["Content-Length"] = str(length)
-        address = reservation.upstream.record.address
-        return await self.session.request(
-            request.method,
-            yarl.URL(f"http://{address}{exchange.target}", encoded=True),
-            headers=forwarded,
-            data=data,
-            allow_redirects=False,
-        )
-
-    async def _stream_body(
-        self, exchange: exchanges.Exchange
-    ) -> AsyncIterator[bytes]:
-        limit = exchange.route.service.max_body_bytes
-        size = 0
-        try:
-            async for chunk in exchange.request.content.iter_chunked(
-                CHUNK_BYTES
-            ):
-                size += len(chunk)
-                if size > limit:
-                    raise _too_large(limit)
-                yield chunk
-        except errors.RefusedError as error:
-            exchange.body_refusal = error.refusal
-            raise
-        except (aiohttp.ClientError, OSError) as error:
-            exchange.body_refusal = errors.Refusal(
-                errors.Kind.MALFORMED,
-                "the body is incomplete",
-                executed="unknown",
-            )
-            raise errors.RefusedError(exchange.body_refusal) from error
-
     def finish(
         self, streaming: exchanges.StreamingResponse, is_complete: bool
     ) -> None:
@@ -382,20 +267,3 @@
         else:
             pool.record_failure(reservation.upstream, elapsed_seconds, now)
         self.admission.release_slot(reservation.service, reservation.upstream)
-
-
-def _too_large(limit: int) -> errors.RefusedError:
-    return errors.refuse(
-        errors.Kind.BODY_TOO_LARGE,
-        f"the body is larger than {limit} bytes",
-        executed="unknown",
-    )
-
-
-def _upstream_failure(
-    exchange: exchanges.Exchange, what: str
-) -> errors.RefusedError:
-    executed = "unknown" if exchange.is_sent else "no"
-    return errors.refuse(
-        errors.Kind.UPSTREAM_FAILED, f"the upstream {what}", executed=executed
-    )
