RECOVER, daemon: failed connects are not run, and known before they are tried

Callers of a daemon that reached no upstream got 502 (upstream-failed) for each request although no upstream had received a byte, and 504 "unknown" when its time ended in a connect.

Cause: the daemon judged each upstream alone, set "sent" before it had a connection, tried connects of 1 s again within the retry budget, and went on choosing upstreams to which connects had just failed.

Change: a daemon follows its reach of each service with the entry VM's reachwatch (connects of requests, probes; log lines service-unreached and service-reached, connects_total, gauges, `unreached` on the health page). A request counts as sent once it has a connection. A failed connect is refused 503 no-room, executed "no"; a service known to be out of reach at once, also for those that wait for a slot, with other VMs as `entries`. Upstreams to which a connect failed are left out for 1 to 8 s while others are not. Connects within the region are given 0.3 s, as at the entry VM. Retries of what was not sent take nothing from the budget, which is for work that upstreams get once more.

--- a/src/pollenseam/admission.py
+++ b/src/pollenseam/admission.py
@@ -42,6 +42,7 @@
             for service, queue in self.queues.items():
                 if queue.count:
                     self.dispatch(service)
+                    self.dismiss_unreached(service)
 
     # Rates.
 
@@ -126,7 +127,7 @@
         workspace: str,
         weight: float,
         deadline: float,
-    ) -> upstreams.Upstream:
+    ) -> upstreams.Upstream | None:
         """Takes a slot on an upstream of this VM's region; waits if necessary.
 
         Args:
@@ -136,7 +137,8 @@
             deadline: Time in seconds after which the request is refused.
 
         Returns:
-            The upstream; pass it to `release_slot` when the request ends.
+            The upstream; pass it to `release_slot` when the request ends. None
+            if the service got out of reach in the meantime.
 
         Raises:
             RefusedError: No upstream had room before `deadline`, or too many
@@ -167,8 +169,8 @@
         service: catalog.Service,
         queue: queues.FairQueue,
         waiter: queues.Waiter,
-        future: "asyncio.Future[upstreams.Upstream]",
-    ) -> upstreams.Upstream:
+        future: "asyncio.Future[upstreams.Upstream | None]",
+    ) -> upstreams.Upstream | None:
         is_taken = False
         try:
             async with asyncio.timeout_at(vm.loop_deadline(waiter.deadline)):
@@ -181,7 +183,8 @@
             queue.cancel(waiter)
             # The slot may be assigned at the moment the wait times out.
             if not is_taken and future.done() and not future.cancelled():
-                self.release_slot(service.path, future.result())
+                if (unused := future.result()) is not None:
+                    self.release_slot(service.path, unused)
 
     def _no_room(self, service: catalog.Service) -> errors.RefusedError:
         local_vm = self.vm
@@ -219,6 +222,20 @@
         upstream.in_flight -= 1
         self.dispatch(service)
 
+    def dismiss_unreached(self, service: str) -> None:
+        """Ends the wait of all requests for a service that is out of reach.
+
+        Args:
+            service: Path of the service.
+        """
+        queue = self.queues.get(service)
+        if queue is None or not self.vm.reach_watch.is_out_of_reach(service):
+            return
+        while (waiter := queue.pop(self.vm.now())) is not None:
+            assert isinstance(waiter.handle, asyncio.Future)
+            if not waiter.handle.done():
+                waiter.handle.set_result(None)
+
     def dispatch(self, service: str) -> None:
         """Assigns free slots of a service to waiting requests, in order."""
         queue = self.queues.get(service)
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -293,6 +293,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.vm.trace.flush()
+        self.vm.reach_watch.close()
         await self.forwarder.close()
         await self.peers.close()
 
--- a/src/pollenseam/errors.py
+++ b/src/pollenseam/errors.py
@@ -94,9 +94,17 @@
         executed: "no" or "unknown"; that of the answer by default.
         retry_after: Seconds after which a retry may succeed, or None; that of
             the answer by default.
+        unreached_service: Path of the service that this VM does not reach, so
+            that other VMs may serve the request; or "".
     """
 
-    __slots__ = ("kind", "detail", "executed", "retry_after")
+    __slots__ = (
+        "kind",
+        "detail",
+        "executed",
+        "retry_after",
+        "unreached_service",
+    )
 
     def __init__(
         self,
@@ -110,6 +118,7 @@
         self.detail = detail
         self.executed = executed or answer.executed
         self.retry_after = retry_after or answer.retry_after
+        self.unreached_service = ""
 
     def __repr__(self) -> str:
         return f"Refusal({self.kind.value}: {self.detail})"
--- a/src/pollenseam/exchanges.py
+++ b/src/pollenseam/exchanges.py
@@ -32,6 +32,7 @@
         is_at_most_once: Whether the route limits the request to one
             execution.
         tried: Names of the upstreams on which an attempt failed.
+        connect_failures: Attempts that failed to connect.
         is_sent: Whether a byte of the request may have reached an upstream, in
             an attempt that was not shed.
         body_refusal: Why the streamed body was aborted, or None.
@@ -53,6 +54,7 @@
         "body",
         "is_at_most_once",
         "tried",
+        "connect_failures",
         "is_sent",
         "body_refusal",
         "claim",
@@ -81,6 +83,7 @@
         self.body: bytes | None = None
         self.is_at_most_once = False
         self.tried: set[str] = set()
+        self.connect_failures = 0
         self.is_sent = False
         self.body_refusal: errors.Refusal | None = None
         self.claim = ""
--- a/src/pollenseam/exchangesending.py
+++ b/src/pollenseam/exchangesending.py
@@ -1,20 +1,30 @@
 """Sends a request to one upstream and waits for the head of the response."""
 
+import functools
 from collections.abc import AsyncIterator
 
 import aiohttp
 import yarl
 
+from pollenseam import connects
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import exchanges
 from pollenseam import headers
+from pollenseam import sending
 from pollenseam import sessions
 from pollenseam import traces
 from pollenseam import upstreams
 from pollenseam import vm
 
 CHUNK_BYTES = 64 * 1024
+# Limits on the time to connect, within this VM's region and beyond it.
+NEAR_TIMEOUT = aiohttp.ClientTimeout(
+    total=None, sock_connect=sending.CONNECT_SECONDS
+)
+FAR_TIMEOUT = aiohttp.ClientTimeout(
+    total=None, sock_connect=sessions.CONNECT_SECONDS
+)
 
 
 class ExchangeSender:
@@ -31,7 +41,9 @@
     ) -> None:
         self.vm = local_vm
         self.crash_watch = crash_watch
-        self.session = sessions.open_session()
+        self.session = sessions.open_session(
+            trace_config=connects.trace_config()
+        )
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
@@ -49,31 +61,87 @@
         Raises:
             RefusedError: The upstream sent no response, or the streamed body
                 was too large or incomplete.
+            PreventedError: Nothing was sent, as it would have needed a new
+                connection and this VM reaches no upstream of the service.
         """
-        pool = self.vm.pool(reservation.service)
-        was_sent = exchange.is_sent
-        name = reservation.upstream.record.name
         if self.vm.trace.is_on:
             self._trace_sent(exchange, reservation)
-        # From here on a byte may reach the upstream, unless connecting fails.
-        exchange.is_sent = True
         try:
             return await self._send_request(exchange, reservation)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            exchange.is_sent = was_sent
-            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
-            exchange.tried.add(name)
-            raise _upstream_failure(exchange, "is unreachable") from error
+            exchange.connect_failures += 1
+            self._record_failure(exchange, reservation)
+            self._record_connect_failed(reservation, error)
+            raise _unreachable(exchange) from error
         except (aiohttp.ClientError, OSError) as error:
             if exchange.body_refusal is not None:
                 raise errors.RefusedError(exchange.body_refusal) from error
-            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
-            exchange.tried.add(name)
+            exchange.is_sent = True
+            self._record_failure(exchange, reservation)
             self._record_break(exchange, reservation.upstream)
-            raise _upstream_failure(exchange, "broke the connection") from error
+            if getattr(error, "errno", None) in sending.NO_PATH_ERRORS:
+                self._record_connect_failed(reservation, error)
+            raise errors.refuse(
+                errors.Kind.UPSTREAM_FAILED,
+                "the upstream broke the connection",
+                "unknown",
+            ) from error
+
+    def _record_failure(
+        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
+    ) -> None:
+        upstream = reservation.upstream
+        pool = self.vm.pool(reservation.service)
+        pool.record_failure(upstream, 0.0, self.vm.now())
+        exchange.tried.add(upstream.record.name)
+
+    def is_near(self, reservation: exchanges.Reservation) -> bool:
+        """Returns whether the upstream is in this VM's region."""
+        return reservation.upstream.record.region == self.vm.flags.region
+
+    def _record_connect_failed(
+        self, reservation: exchanges.Reservation, error: Exception
+    ) -> None:
+        """Records that this VM has no connection to an upstream."""
+        if not self.is_near(reservation):
+            return
+        service = reservation.service
+        self.vm.reach_watch.record_connect_failed(
+            service,
+            reservation.upstream.record.name,
+            len(self.vm.region_addresses(service)),
+            connects.failure_outcome(error),
+        )
+
+    def _record_connection(
+        self,
+        exchange: exchanges.Exchange,
+        reservation: exchanges.Reservation,
+        kind: str,
+    ) -> None:
+        """Records the connection that a request gets to its upstream.
+
+        Raises:
+            PreventedError: This VM reaches no upstream, so that a connection
+                would only cost time.
+        """
+        service = reservation.service
+        is_near = self.is_near(reservation)
+        if kind == connects.OPENING:
+            if is_near and self.vm.reach_watch.reach(service).is_unreached:
+                raise connects.PreventedError
+            return
+        # From here on a byte may reach the upstream.
+        exchange.is_sent = True
+        if is_near and kind == connects.NEW:
+            self.vm.reach_watch.record_connected(
+                service,
+                reservation.upstream.record.name,
+                len(self.vm.region_addresses(service)),
+            )
 
     def _trace_sent(
         self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
@@ -116,6 +184,10 @@
             headers=forwarded,
             data=data,
             allow_redirects=False,
+            timeout=NEAR_TIMEOUT if self.is_near(reservation) else FAR_TIMEOUT,
+            trace_request_ctx=functools.partial(
+                self._record_connection, exchange, reservation
+            ),
         )
 
     async def _stream_body(
@@ -164,10 +236,13 @@
     )
 
 
-def _upstream_failure(
-    exchange: exchanges.Exchange, what: str
-) -> errors.RefusedError:
-    executed = "unknown" if exchange.is_sent else "no"
+def _unreachable(exchange: exchanges.Exchange) -> errors.RefusedError:
+    """Returns the refusal after a connect that failed."""
+    if exchange.is_sent:
+        # In an earlier attempt.
+        return errors.refuse(
+            errors.Kind.UPSTREAM_FAILED, "the upstream is unreachable"
+        )
     return errors.refuse(
-        errors.Kind.UPSTREAM_FAILED, f"the upstream {what}", executed=executed
+        errors.Kind.NO_ROOM, "the upstream is unreachable", "no"
     )
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -4,6 +4,7 @@
 
 from pollenseam import admission
 from pollenseam import catalog
+from pollenseam import connects
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import exchanges
@@ -76,10 +77,14 @@
         last_refusal: errors.Refusal | None = None
         while True:
             reservation = await self._reserve(exchange, last_refusal)
+            if reservation is None:
+                raise _unreached(exchange, last_refusal)
             try:
                 return await self._attempt(exchange, reservation)
             except _ShedError:
                 continue
+            except connects.PreventedError as error:
+                raise _unreached(exchange, last_refusal) from error
             except errors.RefusedError as error:
                 last_refusal = error.refusal
                 if not self._may_retry(exchange, budget):
@@ -112,18 +117,28 @@
             exchange.breaks and exchange.is_suspect
         ):
             return False
-        if exchange.is_sent and not exchange.may_resend:
+        if not exchange.is_sent:
+            # The budget is for work that upstreams get once more.
+            return exchange.connect_failures < MAX_ATTEMPTS
+        if len(exchange.tried) >= MAX_ATTEMPTS:
             return False
-        return len(exchange.tried) < MAX_ATTEMPTS and budget.try_spend()
+        return exchange.may_resend and budget.try_spend()
 
     async def _reserve(
         self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
-    ) -> exchanges.Reservation:
+    ) -> exchanges.Reservation | None:
+        """Reserves a slot; returns None if the service is out of reach.
+
+        Raises:
+            RefusedError: No upstream has a free slot in time.
+        """
         service = exchange.route.service
         shifted = self._reserve_in_shift_target(service, exchange)
         if shifted is not None:
             return exchanges.Reservation(service.path, shifted, self.vm.now())
-        if last_refusal is not None:
+        if self.vm.reach_watch.is_out_of_reach(service.path):
+            return None
+        if last_refusal is not None and exchange.is_sent:
             return self._reserve_untried(exchange, last_refusal)
         upstream = await self.admission.take_slot(
             service,
@@ -131,6 +146,8 @@
             exchange.weight,
             exchange.queue_deadline,
         )
+        if upstream is None:
+            return None
         return exchanges.Reservation(service.path, upstream, self.vm.now())
 
     def _reserve_untried(
@@ -261,9 +278,26 @@
             watchlist.record_success(streaming.exchange.fingerprint)
         now = self.vm.now()
         pool = self.vm.pool(reservation.service)
+        if is_complete and self.sender.is_near(reservation):
+            self.vm.reach_watch.record_reply(reservation.service)
         elapsed_seconds = now - reservation.started
         if is_complete and response.status < 500:
             pool.record_success(reservation.upstream, elapsed_seconds, now)
         else:
             pool.record_failure(reservation.upstream, elapsed_seconds, now)
         self.admission.release_slot(reservation.service, reservation.upstream)
+
+
+def _unreached(
+    exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
+) -> errors.RefusedError:
+    """Returns the refusal of a request whose service is out of reach."""
+    if last_refusal is not None and exchange.is_sent:
+        return errors.RefusedError(last_refusal)
+    refusal = errors.Refusal(
+        errors.Kind.NO_ROOM,
+        "this VM reaches no upstream of the service",
+        "no",
+    )
+    refusal.unreached_service = exchange.route.service.path
+    return errors.RefusedError(refusal)
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -169,6 +169,7 @@
             "fresh": local_vm.is_fresh(),
             "settings_age_ms": local_vm.settings_age_ms(),
             "settings_index": local_vm.tree.index,
+            "unreached": local_vm.reach_watch.unreached(),
         }
         return web.json_response(body)
 
@@ -443,7 +444,10 @@
         local_vm.metrics.refused[refusal.kind] += 1
         answer = errors.ANSWERS[refusal.kind]
         entries = []
-        if refusal.kind in errors.RETRY_ELSEWHERE_KINDS:
+        if (
+            refusal.kind in errors.RETRY_ELSEWHERE_KINDS
+            or refusal.unreached_service
+        ):
             entries = local_vm.fresh_entries()
         problem = Problem(
             f"urn:pollenseam:{refusal.kind.value}",
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -236,6 +236,7 @@
         lookups: Number of look-ups answered.
         retries: Number of requests sent to an upstream again.
         sheds: Number of requests that upstreams shed.
+        connects: Connections to upstreams, by service and outcome.
         latencies: Time from arrival to the end of the answer, by service.
     """
 
@@ -248,6 +249,7 @@
         "lookups",
         "retries",
         "sheds",
+        "connects",
         "latencies",
     )
 
@@ -260,6 +262,7 @@
         self.lookups = 0
         self.retries = 0
         self.sheds = 0
+        self.connects = Counter("connects_total", "service", "outcome")
         self.latencies = Summary("latency_seconds", "service")
 
     def observe(self, service: str, seconds: float) -> None:
@@ -294,4 +297,5 @@
         for name in ("lookups", "retries", "sheds"):
             yield f"# TYPE pollenseam_{name}_total counter"
             yield f"pollenseam_{name}_total {getattr(self, name)}"
+        yield from self.connects.lines()
         yield from self.latencies.lines()
--- a/src/pollenseam/upstreams.py
+++ b/src/pollenseam/upstreams.py
@@ -17,6 +17,10 @@
 MAX_EJECTED_RATIO = 0.34
 FAILURE_RATIO_WEIGHT = 0.1
 FULL_AFTER_SHED_SECONDS = 0.015
+# An upstream is not chosen for this time after a connect that failed, doubled
+# up to the maximum with each further one, as long as others can be.
+UNREACHABLE_SECONDS = 1.0
+MAX_UNREACHABLE_SECONDS = 8.0
 
 
 class Upstream:
@@ -42,6 +46,9 @@
             answered successfully; it then gets one request at a time.
         full_until: Time until which the upstream is assumed to be full, after
             it shed a request.
+        connect_failures: Connects that failed since the last success.
+        unreachable_until: Time until which the upstream is only chosen if all
+            others are out of reach as well.
     """
 
     __slots__ = (
@@ -59,6 +66,8 @@
         "ejected_until",
         "is_on_probation",
         "full_until",
+        "connect_failures",
+        "unreachable_until",
     )
 
     def __init__(
@@ -83,6 +92,18 @@
         self.ejected_until = now
         self.is_on_probation = False
         self.full_until = now
+        self.record_reachable()
+
+    def record_reachable(self) -> None:
+        """Records that a connection was opened."""
+        self.connect_failures = 0
+        self.unreachable_until = 0.0
+
+    def record_unreachable(self, now: float) -> None:
+        """Records that a connection could not be opened."""
+        seconds = UNREACHABLE_SECONDS * 2**self.connect_failures
+        self.connect_failures += 1
+        self.unreachable_until = now + min(seconds, MAX_UNREACHABLE_SECONDS)
 
     def is_usable(self, now: float) -> bool:
         """Returns whether the upstream may get requests, if it has room."""
@@ -172,7 +193,8 @@
         """Returns the least utilized upstream with room, or None.
 
         Upstreams in the given failure domain come first; ties are broken at
-        random.
+        random. Those to which a connect failed lately are left out, unless
+        there are no others.
 
         Args:
             region: Region to choose in.
@@ -181,19 +203,25 @@
             tried: Names of upstreams that this request was already sent to.
         """
         best: Upstream | None = None
-        best_key = (2, 0.0, 0.0)
+        best_key = (True, 2, 0.0, 0.0)
+        has_reachable = False
         for name, upstream in self.upstreams.items():
             record = upstream.record
             if record.region != region or name in tried:
                 continue
-            if not upstream.is_usable(now) or not upstream.has_room(now):
+            if not upstream.is_usable(now):
+                continue
+            is_unreachable = now < upstream.unreachable_until
+            has_reachable |= not is_unreachable
+            if not upstream.has_room(now):
                 continue
             is_remote = int(record.failure_domain != domain)
-            key = (is_remote, upstream.utilization(now), self.random.random())
+            load = upstream.utilization(now)
+            key = (is_unreachable, is_remote, load, self.random.random())
             if best is None or key < best_key:
                 best = upstream
                 best_key = key
-        return best
+        return None if has_reachable and best_key[0] else best
 
     def has_usable(self, region: str, now: float) -> bool:
         """Returns whether any upstream of a region may get requests."""
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -17,6 +17,7 @@
 from pollenseam import metrics
 from pollenseam import observations
 from pollenseam import peers
+from pollenseam import poolreach
 from pollenseam import replicarunner
 from pollenseam import settings
 from pollenseam import shifts
@@ -61,6 +62,8 @@
         board: What the VMs observe at upstreams; used by the leader.
         pools: Pool of upstreams, by service path.
         metrics: Counters and latencies.
+        reach_watch: Follows which services this VM reaches, by their paths.
+            Only upstreams in this VM's region count.
         trace: Recorder of the inputs of decisions; off without a trace file.
         lifecycle: Life cycle of the VM.
         replica_runner: Runs this VM's replica; None if the VM has none.
@@ -110,6 +113,13 @@
         self.board = observations.Board(self._log_block)
         self.pools: dict[str, upstreams.Pool] = {}
         self.metrics = metrics.Metrics()
+        self.reach_watch = poolreach.PoolReach(
+            log,
+            self.now,
+            self.metrics.connects,
+            self.region_addresses,
+            self.pool,
+        )
         self.trace = traces.open_recorder(daemon_flags.trace_file)
         if self.trace.is_on:
             name, region = daemon_flags.vm, daemon_flags.region
@@ -266,9 +276,28 @@
             grouped.setdefault(known.record.service, []).append(known)
         now = self.now()
         for service in grouped.keys() | self.pools.keys():
-            self.pool(service).refresh(grouped.get(service, ()), now)
+            pool = self.pool(service)
+            pool.refresh(grouped.get(service, ()), now)
+            self.reach_watch.retain(service, pool.upstreams)
         return True
 
+    def region_addresses(self, service: str) -> dict[str, str]:
+        """Returns the addresses of a service's upstreams, by name.
+
+        Only those in this VM's region that are serving.
+
+        Args:
+            service: Path of the service.
+        """
+        now = self.now()
+        return {
+            name: upstream.record.address
+            for name, upstream in self.pool(service).upstreams.items()
+            if upstream.record.region == self.flags.region
+            and upstream.record.state == lifecycles.UpstreamState.SERVING
+            and now < upstream.deadline
+        }
+
     def load(self) -> float:
         """Returns the load: this VM's requests in flight per upstream slot.
 
@@ -313,6 +342,7 @@
                 and self.replica_runner.is_leader
             ),
             "load": self.load(),
+            **self.reach_watch.gauges(),
         }
 
     def held_shares(self) -> dict[str, leases.Limit]:
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -42,6 +42,22 @@
     assert choose(pool_of(known("a", state=state))) is None
 
 
+def test_an_upstream_out_of_reach_is_left_out_while_others_are_not():
+    """Guards against requests that run through all dead upstreams in turn."""
+    pool = pool_of(known("a"), known("b", domain="d2"))
+    pool.upstreams["a"].record_unreachable(NOW)
+    assert choose(pool) == "b"
+    pool.upstreams["b"].in_flight = 3
+    assert choose(pool) is None
+    assert choose(pool, NOW + 1.1) == "a"
+    pool.upstreams["b"].record_unreachable(NOW)
+    assert choose(pool) == "a"
+    pool.upstreams["a"].record_unreachable(NOW)
+    assert pool.upstreams["a"].unreachable_until == NOW + 2.0
+    pool.upstreams["a"].record_reachable()
+    assert choose(pool) == "a"
+
+
 def test_a_record_past_its_deadline_is_not_used():
     pool = pool_of(known("a"))
     assert choose(pool, NOW + 8.9) == "a"
