--- a/src/pollenseam/relayhelper.py
+++ b/src/pollenseam/relayhelper.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from typing import Protocol
 
 from pollenseam import calls
-from pollenseam import dispatcher
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import peers
@@ -21,6 +21,23 @@
 MAX_REPLY_BYTES = 12 * 1024 * 1024
 
 
+class Deliverer(Protocol):
+    """Sends calls to upstreams."""
+
+    async def deliver(
+        self, active_call: calls.ActiveCall
+    ) -> calls.Reply | None:
+        """Sends a call until one upstream has received it.
+
+        Returns:
+            The reply, or None if the upstream gave no valid one.
+
+        Raises:
+            RefusedError: No upstream has received the call, or none replied in
+                time.
+        """
+
+
 class RelayHelper:
     """Sends calls of other entry VMs to upstreams.
 
@@ -41,7 +58,7 @@
 
     def __init__(
         self,
-        call_dispatcher: dispatcher.Dispatcher,
+        call_dispatcher: Deliverer,
         pools: Mapping[str, steering.Pool],
         now: Callable[[], float],
         lends_until: Callable[[], float],
