--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -29,6 +29,9 @@
 from pollenseam import messages
 from pollenseam import operators
 from pollenseam import peers
+from pollenseam import relayedexchanges
+from pollenseam import relayhelper
+from pollenseam import relaymessages
 from pollenseam import renewer
 from pollenseam import replicarunner
 from pollenseam import submitter
@@ -61,6 +64,7 @@
         renewer: Renews the leases of the VM.
         admission: Makes requests wait for tokens and upstream slots.
         forwarder: Forwards requests to upstreams.
+        relay_helper: Sends requests of other VMs to upstreams.
         idempotency_handler: Runs requests that have an idempotency key.
         replica_changes: Handles additions and removals of replicas.
         frontend: Serves the caller address.
@@ -90,10 +94,16 @@
             self.idempotency_handler,
             operators.OperatorHandler(self.vm, self.submitter),
         )
+        relayed = relayedexchanges.RelayedExchanges(self.vm, self.forwarder)
         read_credentials = self.tls.credentials if self.tls else None
         self.server = peers.Server(
             log.clock, self.peers.traffic, read_credentials, log
         )
+        # Of the pools, only whether there are upstreams is used.
+        pools: Any = self.vm.pools
+        self.relay_helper = relayhelper.RelayHelper(
+            relayed, pools, self.vm.now, relayed.lends_until, self.server, log
+        )
         self._http_server = httpserver.HttpServer(
             self.frontend.handle,
             KEEP_ALIVE_SECONDS,
@@ -126,7 +136,9 @@
         self._spawn(self.renewer.run())
         self._spawn(self.admission.run())
         if self.tls is not None:
-            self._spawn(self.tls.watch(self.peers))
+            relay_peers = self.forwarder.relay.relayer.peers
+            self._spawn(self.tls.watch(self.peers, relay_peers))
+        self._spawn(self.forwarder.relay.run())
         await self.vm.settings_fetched.wait()
         await self._wait_for_leases()
         # Most objects that exist now live until the process ends, so the
@@ -206,6 +218,7 @@
         server.handle(peers.SUBMIT, self.submitter.answer_submit)
         server.handle(peers.READ, self.submitter.answer_read)
         server.handle(peers.LEND, self.renewer.answer)
+        server.handle(relaymessages.RELAY, self.relay_helper.handle)
         server.handle(peers.PROBE, self.replica_changes.answer_probe)
         server.handle(peers.CHANGE_REPLICA, self.replica_changes.answer_change)
         server.handle_stream(peers.DELIVER, self._deliver)
@@ -255,6 +268,7 @@
         await self.gossiper.broadcast_state()
         await self._wait_for_lookup_expiry(deadline)
         await self._close_connections(deadline)
+        await self._wait_for_lent_calls(deadline)
         await self.idempotency_handler.drain(deadline)
         await self.renewer.release()
         if local_vm.replica_runner is not None:
@@ -278,6 +292,14 @@
         while self.vm.now() < expire_at:
             await asyncio.sleep(0.05)
 
+    async def _wait_for_lent_calls(self, deadline: float) -> None:
+        """Waits until the requests of other VMs that this one sends have ended.
+
+        No further ones are taken since the VM is leaving.
+        """
+        while self.relay_helper.lent_calls and self.vm.now() < deadline:
+            await asyncio.sleep(0.02)
+
     async def _close_connections(self, deadline: float) -> None:
         """Closes callers' connections once their requests are answered."""
         idle, busy = self._http_server.stop_accepting()
--- a/src/pollenseam/exchangesending.py
+++ b/src/pollenseam/exchangesending.py
@@ -136,6 +136,7 @@
             return
         # From here on a byte may reach the upstream.
         exchange.is_sent = True
+        exchange.received_by.add(reservation.upstream.record.name)
         if is_near and kind == connects.NEW:
             self.vm.reach_watch.record_connected(
                 service,
@@ -164,22 +165,21 @@
     async def _send_request(
         self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
     ) -> aiohttp.ClientResponse:
-        request = exchange.request
-        forwarded = headers.to_upstream(request.headers, exchange.key)
+        forwarded = headers.to_upstream(exchange.headers, exchange.key)
         if exchange.workspace:
             forwarded[headers.WORKSPACE] = exchange.workspace.rpartition("/")[2]
         left_ms = int((exchange.deadline - self.vm.now()) * 1000)
         forwarded[headers.TIMEOUT] = str(max(1, left_ms))
-        forwarded["Host"] = request.headers["Host"]
+        forwarded["Host"] = exchange.headers["Host"]
         data: bytes | AsyncIterator[bytes] | None = exchange.body or None
         if exchange.body is None:
             data = self._stream_body(exchange)
-            length = request.content_length
+            length = exchange.content_length
             if length is not None:
                 forwarded["Content-Length"] = str(length)
         address = reservation.upstream.record.address
         return await self.session.request(
-            request.method,
+            exchange.method,
             yarl.URL(f"http://{address}{exchange.target}", encoded=True),
             headers=forwarded,
             data=data,
@@ -196,9 +196,7 @@
         limit = exchange.route.service.max_body_bytes
         size = 0
         try:
-            async for chunk in exchange.request.content.iter_chunked(
-                CHUNK_BYTES
-            ):
+            async for chunk in exchange.content.iter_chunked(CHUNK_BYTES):
                 size += len(chunk)
                 if size > limit:
                     raise _too_large(limit)
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -7,15 +7,19 @@
 from pollenseam import connects
 from pollenseam import crashwatch
 from pollenseam import errors
+from pollenseam import exchangerelay
 from pollenseam import exchanges
 from pollenseam import exchangesending
 from pollenseam import lifecycles
+from pollenseam import relaying
 from pollenseam import shifts
 from pollenseam import upstreams
 from pollenseam import vm
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 MAX_ATTEMPTS = 3
+# Failed connects after which another VM is asked to send a request.
+MAX_OWN_CONNECT_FAILURES = 2
 # A request is sent once more after the connection broke; it may be what crashes
 # the upstreams.
 MAX_BREAKS = 1
@@ -23,6 +27,10 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
+class _FinalRefusedError(errors.RefusedError):
+    """The request was refused and must not be tried again."""
+
+
 class _ShedError(Exception):
     """The upstream shed the request: it declared that it did not run it."""
 
@@ -36,6 +44,7 @@
         retry_budgets: Retry budgets by service path.
         active_shifts: State of running shifts by path.
         sender: Sends requests to upstreams.
+        relay: Has requests sent by other VMs.
     """
 
     def __init__(
@@ -51,10 +60,12 @@
                 local_vm.log, local_vm.now, self._record_crash, self._is_leaving
             ),
         )
+        self.relay = exchangerelay.ExchangeRelay(local_vm)
 
     async def close(self) -> None:
-        """Closes all connections to upstreams."""
+        """Closes all connections to upstreams and to other VMs."""
         await self.sender.close()
+        await self.relay.close()
 
     async def send(
         self, exchange: exchanges.Exchange
@@ -77,26 +88,60 @@
         last_refusal: errors.Refusal | None = None
         while True:
             reservation = await self._reserve(exchange, last_refusal)
-            if reservation is None:
-                raise _unreached(exchange, last_refusal)
             try:
-                return await self._attempt(exchange, reservation)
+                if reservation is not None:
+                    return await self._attempt(exchange, reservation)
+                response = await self._relay(exchange, last_refusal)
+                if response is not None:
+                    return response
             except _ShedError:
                 continue
-            except connects.PreventedError as error:
-                raise _unreached(exchange, last_refusal) from error
+            except connects.PreventedError:
+                exchange.is_prevented = True
+            except _FinalRefusedError:
+                raise
             except errors.RefusedError as error:
                 last_refusal = error.refusal
                 if not self._may_retry(exchange, budget):
                     raise
                 self.vm.metrics.retries += 1
 
+    async def _relay(
+        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
+    ) -> exchanges.StreamingResponse | None:
+        """Has a request sent by another VM.
+
+        Returns:
+            The response, or None if this VM is to send the request after all.
+
+        Raises:
+            RefusedError: There is no response.
+        """
+        if exchange.is_relayed or exchange.is_helpless:
+            raise _unreached(exchange, last_refusal)
+        service = exchange.route.service.path
+        try:
+            return await self.relay.send(exchange)
+        except relaying.NoHelpError as error:
+            exchange.is_helpless = True
+            exchange.is_prevented = False
+            if not self.vm.reach_watch.reach(service).is_unreached:
+                return None
+            raise _unreached(exchange, last_refusal, str(error)) from error
+        except errors.RefusedError as error:
+            if error.refusal.executed != "no":
+                raise
+            # An earlier attempt may have run.
+            is_sent = exchange.is_sent and last_refusal is not None
+            refusal = last_refusal if is_sent else None
+            raise _FinalRefusedError(refusal or error.refusal) from error
+
     def _check_crashes(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that is blocked for crashing upstreams."""
         watchlist = self.vm.fleet_view.watchlist
         if watchlist.is_empty or not exchange.fingerprint:
             return
-        exchange.is_suspect = watchlist.check(
+        exchange.is_suspect |= watchlist.check(
             exchange.fingerprint, self.vm.now()
         )
 
@@ -119,7 +164,10 @@
             return False
         if not exchange.is_sent:
             # The budget is for work that upstreams get once more.
-            return exchange.connect_failures < MAX_ATTEMPTS
+            failures = exchange.connect_failures
+            return failures < MAX_ATTEMPTS and not exchange.is_helpless
+        if exchange.is_relayed or exchange.relays >= MAX_ATTEMPTS:
+            return False
         if len(exchange.tried) >= MAX_ATTEMPTS:
             return False
         return exchange.may_resend and budget.try_spend()
@@ -127,7 +175,7 @@
     async def _reserve(
         self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
     ) -> exchanges.Reservation | None:
-        """Reserves a slot; returns None if the service is out of reach.
+        """Reserves a slot; returns None if another VM is to help.
 
         Raises:
             RefusedError: No upstream has a free slot in time.
@@ -136,9 +184,9 @@
         shifted = self._reserve_in_shift_target(service, exchange)
         if shifted is not None:
             return exchanges.Reservation(service.path, shifted, self.vm.now())
-        if self.vm.reach_watch.is_out_of_reach(service.path):
+        if self._needs_helper(exchange):
             return None
-        if last_refusal is not None and exchange.is_sent:
+        if exchange.is_sent or (exchange.is_relayed and exchange.tried):
             return self._reserve_untried(exchange, last_refusal)
         upstream = await self.admission.take_slot(
             service,
@@ -150,20 +198,33 @@
             return None
         return exchanges.Reservation(service.path, upstream, self.vm.now())
 
+    def _needs_helper(self, exchange: exchanges.Exchange) -> bool:
+        service = exchange.route.service.path
+        is_out_of_reach = self.vm.reach_watch.is_out_of_reach(service)
+        if is_out_of_reach or exchange.is_prevented:
+            return True
+        failures = exchange.connect_failures
+        return failures >= MAX_OWN_CONNECT_FAILURES and not exchange.is_helpless
+
     def _reserve_untried(
-        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal
+        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
     ) -> exchanges.Reservation:
         """Reserves a slot on an untried upstream of this VM's region.
 
         Raises:
             RefusedError: No such upstream has a free slot. Carries
-                `last_refusal`.
+                `last_refusal`, if there is one.
         """
         service = exchange.route.service.path
         region = self.vm.flags.region
         upstream = self.admission.try_take_slot(service, region, exchange.tried)
         if upstream is None:
-            raise errors.RefusedError(last_refusal)
+            raise errors.RefusedError(
+                last_refusal
+                or errors.Refusal(
+                    errors.Kind.NO_ROOM, "no other upstream has a free slot"
+                )
+            )
         return exchanges.Reservation(service, upstream, self.vm.now())
 
     def _reserve_in_shift_target(
@@ -232,6 +293,7 @@
         if response.status == shed.status and shed.header in response.headers:
             response.close()
             exchange.is_sent = was_sent
+            exchange.received_by.discard(reservation.upstream.record.name)
             self._record_shed(reservation)
             raise _ShedError
         return exchanges.StreamingResponse(response, reservation, exchange)
@@ -273,6 +335,9 @@
             response.release()
         else:
             response.close()
+        if reservation is None:
+            # The VM that sent it has recorded the outcome.
+            return
         watchlist = self.vm.fleet_view.watchlist
         if is_complete and not watchlist.is_empty:
             watchlist.record_success(streaming.exchange.fingerprint)
@@ -289,15 +354,17 @@
 
 
 def _unreached(
-    exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
+    exchange: exchanges.Exchange,
+    last_refusal: errors.Refusal | None,
+    why: str = "no other VM was asked",
 ) -> errors.RefusedError:
     """Returns the refusal of a request whose service is out of reach."""
     if last_refusal is not None and exchange.is_sent:
-        return errors.RefusedError(last_refusal)
+        return _FinalRefusedError(last_refusal)
     refusal = errors.Refusal(
         errors.Kind.NO_ROOM,
-        "this VM reaches no upstream of the service",
+        f"this VM reaches no upstream of the service; {why}",
         "no",
     )
     refusal.unreached_service = exchange.route.service.path
-    return errors.RefusedError(refusal)
+    return _FinalRefusedError(refusal)
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -219,7 +219,7 @@
 
     def _admit(
         self, request: web.BaseRequest, target: str, now: float
-    ) -> exchanges.Exchange:
+    ) -> exchanges.CallerExchange:
         """Checks a request before it waits for a token, a slot or its body.
 
         Raises:
@@ -245,7 +245,7 @@
                 "this VM stops before the request's time is over",
             )
         queue_deadline = min(deadline, now + route.service.queue_ms / 1000)
-        exchange = exchanges.Exchange(
+        exchange = exchanges.CallerExchange(
             request, target, route, deadline, queue_deadline
         )
         if route.node.access == "keyed":
@@ -270,14 +270,14 @@
         )
         return min(requested_ms or route.timeout_ms, route.timeout_ms)
 
-    def _check_key(self, exchange: exchanges.Exchange) -> None:
+    def _check_key(self, exchange: exchanges.CallerExchange) -> None:
         local_vm = self.vm
         if not local_vm.is_fresh():
             raise errors.refuse(
                 errors.Kind.NOT_FRESH,
                 "this VM's settings are too old to check keys",
             )
-        text = keys.parse_bearer(exchange.request.headers.get("Authorization"))
+        text = keys.parse_bearer(exchange.headers.get("Authorization"))
         key = announcing.check_key(local_vm, text)
         node = local_vm.catalog.workspaces.get(key.owner)
         if node is None or not exchange.route.service.allows(key.owner):
@@ -304,7 +304,7 @@
             traces.Keyed(local_vm.now(), key.id, key.owner, age_ms, bound_ms)
         )
 
-    async def _buffer_body(self, exchange: exchanges.Exchange) -> None:
+    async def _buffer_body(self, exchange: exchanges.CallerExchange) -> None:
         """Buffers the body if it is small or the request needs a claim.
 
         Raises:
@@ -335,7 +335,9 @@
                 errors.Kind.DEADLINE, "the body did not arrive in time", "no"
             ) from None
 
-    async def _proxy(self, exchange: exchanges.Exchange) -> web.StreamResponse:
+    async def _proxy(
+        self, exchange: exchanges.CallerExchange
+    ) -> web.StreamResponse:
         try:
             deadline = vm.loop_deadline(exchange.deadline)
             async with asyncio.timeout_at(deadline):
@@ -344,7 +346,7 @@
             return self._handle_truncation(exchange, error)
 
     async def _forward(
-        self, exchange: exchanges.Exchange
+        self, exchange: exchanges.CallerExchange
     ) -> web.StreamResponse:
         streaming = await self.forwarder.send(exchange)
         is_complete = False
@@ -357,8 +359,8 @@
 
     async def _relay_response(
         self,
-        exchange: exchanges.Exchange,
-        upstream_response: aiohttp.ClientResponse,
+        exchange: exchanges.CallerExchange,
+        upstream_response: exchanges.Response,
     ) -> web.StreamResponse:
         """Relays an upstream's response to the caller.
 
@@ -403,7 +405,7 @@
         return response
 
     def _handle_truncation(
-        self, exchange: exchanges.Exchange, error: Exception
+        self, exchange: exchanges.CallerExchange, error: Exception
     ) -> web.StreamResponse:
         """Handles an error or timeout before the end of a response.
 
--- a/src/pollenseam/idempotency.py
+++ b/src/pollenseam/idempotency.py
@@ -82,8 +82,7 @@
     def _build_claim(
         self, exchange: exchanges.Exchange, key: str
     ) -> commands.OpenClaim:
-        request = exchange.request
-        head = f"{request.method} {exchange.route.node.host} {exchange.target}"
+        head = f"{exchange.method} {exchange.route.node.host} {exchange.target}"
         digest = hashlib.sha256(head.encode() + b"\0" + (exchange.body or b""))
         left_ms = int((exchange.deadline - self.vm.now()) * 1000)
         return commands.OpenClaim(
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -237,6 +237,7 @@
         retries: Number of requests sent to an upstream again.
         sheds: Number of requests that upstreams shed.
         connects: Connections to upstreams, by service and outcome.
+        relays: Requests given to other VMs, by service and outcome.
         latencies: Time from arrival to the end of the answer, by service.
     """
 
@@ -250,6 +251,7 @@
         "retries",
         "sheds",
         "connects",
+        "relays",
         "latencies",
     )
 
@@ -263,6 +265,7 @@
         self.retries = 0
         self.sheds = 0
         self.connects = Counter("connects_total", "service", "outcome")
+        self.relays = Counter("relays_total", "service", "outcome")
         self.latencies = Summary("latency_seconds", "service")
 
     def observe(self, service: str, seconds: float) -> None:
@@ -298,4 +301,5 @@
             yield f"# TYPE pollenseam_{name}_total counter"
             yield f"pollenseam_{name}_total {getattr(self, name)}"
         yield from self.connects.lines()
+        yield from self.relays.lines()
         yield from self.latencies.lines()
--- a/src/pollenseam/tls.py
+++ b/src/pollenseam/tls.py
@@ -57,13 +57,13 @@
         self._context = context
         return context
 
-    async def watch(self, peer_client: peers.Client) -> None:
+    async def watch(self, *peer_clients: peers.Client) -> None:
         """Checks the files periodically and reloads them when they change.
 
         Runs until cancelled.
 
         Args:
-            peer_client: Client whose credentials are replaced.
+            *peer_clients: Clients whose credentials are replaced.
         """
         while True:
             await asyncio.sleep(RELOAD_INTERVAL_SECONDS)
@@ -73,7 +73,8 @@
             try:
                 if self._context is not None:
                     self._context.load_cert_chain(self.certificate, self.key)
-                await peer_client.replace_credentials(self.credentials())
+                for client in peer_clients:
+                    await client.replace_credentials(self.credentials())
             except (OSError, ssl.SSLError):
                 # The files may be in the middle of a replacement, so that key
                 # and certificate do not match yet. The next round retries.
