RECOVER, daemon: a VM that is cut off says so, and look-ups name others

Look-ups of all daemons went on naming a VM that reached no upstream, with its full weight, so that callers kept coming to it and each request took a second hop.

Cause: a look-up judged a VM by its life cycle, the age of its settings and its load; gossip had nothing on its reach of upstreams.

Health has `cut_off`.

Evidence: tests/test_daemon_cut_off.py, look-ups of three real daemons while one is cut off from one of two services: on the code before the condition "all look-ups name the other two" is not met in 5 s; now it is, at all three, and they name it again within 5 s of the heal.

--- a/src/pollenseam/exchangerelay.py
+++ b/src/pollenseam/exchangerelay.py
@@ -76,7 +76,7 @@
                 incomplete.
         """
         await self._buffer_body(exchange)
-        self._update_helpers()
+        self._update_helpers(exchange.route.service.path)
         exchange.relays += 1
         was_sent = exchange.is_sent
         # From here on an upstream may receive it, until a helper says no.
@@ -117,8 +117,15 @@
             raise errors.RefusedError(exchange.body_refusal) from error
         exchange.body = bytes(body)
 
-    def _update_helpers(self) -> None:
+    def _update_helpers(self, service: str) -> None:
+        """Updates the list of helpers, and leaves out those that cannot help.
+
+        Args:
+            service: Path of the service that the helpers should reach.
+        """
         now = self.vm.now()
+        for name in self.vm.directory.reach_reports.cut_off(service, now):
+            self.relayer.helpers.avoid(name, HELPERS_SECONDS, now, service)
         if now < self.helpers_until:
             return
         self.helpers_until = now + HELPERS_SECONDS
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -158,7 +158,10 @@
         local_vm.directory.own_record.settings_age_ms = (
             local_vm.settings_age_ms()
         )
-        entries = lookups.rank(vms, distances, served, fleet.freshness_ms)
+        cut_off = local_vm.directory.reach_reports.cut_off(service.path, now)
+        entries = lookups.rank(
+            vms, distances, served, fleet.freshness_ms, cut_off
+        )
         return lookups.Lookup(service.path, entries)
 
     async def _health(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -170,6 +173,7 @@
             "settings_age_ms": local_vm.settings_age_ms(),
             "settings_index": local_vm.tree.index,
             "unreached": local_vm.reach_watch.unreached(),
+            "cut_off": local_vm.reach_watch.cut_off(),
         }
         return web.json_response(body)
 
@@ -450,7 +454,7 @@
             refusal.kind in errors.RETRY_ELSEWHERE_KINDS
             or refusal.unreached_service
         ):
-            entries = local_vm.fresh_entries()
+            entries = local_vm.fresh_entries(refusal.unreached_service)
         problem = Problem(
             f"urn:pollenseam:{refusal.kind.value}",
             refusal.kind.value.replace("-", " "),
--- a/src/pollenseam/gossiper.py
+++ b/src/pollenseam/gossiper.py
@@ -44,9 +44,18 @@
         """Waits for the next round; returns early for an urgent update."""
         next_round_at = self.vm.now() + ROUND_SECONDS
         await asyncio.sleep(MIN_ROUND_SECONDS)
-        while self.vm.now() < next_round_at and not self.vm.directory.is_urgent:
+        while self.vm.now() < next_round_at:
+            self.update_reach()
+            if self.vm.directory.is_urgent:
+                return
             await asyncio.sleep(MIN_ROUND_SECONDS)
 
+    def update_reach(self) -> None:
+        """Updates the report of the services that only other VMs reach."""
+        local_vm = self.vm
+        services = local_vm.reach_watch.cut_off()
+        local_vm.directory.update_reach(services, local_vm.now())
+
     def update_own_record(self) -> None:
         """Updates this VM's own record and removes expired records."""
         local_vm = self.vm
@@ -59,6 +68,7 @@
             local_vm.load(),
         )
         directory.remove_expired(local_vm.now())
+        self.update_reach()
 
     def _targets(self) -> list[tuple[str, str]]:
         directory = self.vm.directory
--- a/src/pollenseam/lookups.py
+++ b/src/pollenseam/lookups.py
@@ -2,11 +2,14 @@
 
 import array
 import bisect
+import collections
 import ipaddress
+from collections.abc import Container
 from collections.abc import Mapping
 
 import msgspec
 
+from pollenseam import directories
 from pollenseam import lifecycles
 from pollenseam import messages
 from pollenseam import settings
@@ -185,6 +188,7 @@
     distances: Mapping[str, float],
     served: set[str],
     max_age_ms: int,
+    cut_off: Container[str] = (),
 ) -> list[Entry]:
     """Returns the entry VMs to use, the best first, at most MAX_ENTRIES.
 
@@ -196,8 +200,12 @@
         distances: Latency from the client's region in ms, by region.
         served: Regions in which the service has usable upstreams.
         max_age_ms: VMs whose settings are older than this are left out.
+        cut_off: Names of VMs that do not reach the service. They are left out
+            where enough others of their region can take their callers; they
+            serve as well, through others.
     """
     eligible = [vm for vm in vms if _is_eligible(vm, max_age_ms)]
+    eligible = _without_cut_off(eligible, cut_off)
     eligible.sort(
         key=lambda vm: (
             vm.region not in served,
@@ -219,6 +227,21 @@
     ]
 
 
+def _without_cut_off(
+    vms: list[messages.Vm], cut_off: Container[str]
+) -> list[messages.Vm]:
+    reaching = [vm for vm in vms if vm.name not in cut_off]
+    counts = collections.Counter(vm.region for vm in vms)
+    reaching_counts = collections.Counter(vm.region for vm in reaching)
+    ratio = directories.MIN_REACHING_RATIO
+    return [
+        vm
+        for vm in vms
+        if vm.name not in cut_off
+        or reaching_counts[vm.region] < ratio * counts[vm.region]
+    ]
+
+
 def _is_eligible(vm: messages.Vm, max_age_ms: int) -> bool:
     serving = vm.state == lifecycles.VmState.SERVING
     return serving and 0 <= vm.settings_age_ms <= max_age_ms
--- a/src/pollenseam/members.py
+++ b/src/pollenseam/members.py
@@ -16,6 +16,7 @@
 
 from pollenseam import lifecycles
 from pollenseam import messages
+from pollenseam import reachreports
 
 # Time without a heartbeat after which a VM is suspect, then removed.
 SUSPECT_SECONDS = 4.0
@@ -107,6 +108,7 @@
         is_urgent: Whether an update is pending that should not wait for the
             next gossip round.
         random: Seeded random number generator for the choice of peers.
+        reach_reports: VMs that do not reach a service which others reach.
     """
 
     __slots__ = (
@@ -117,6 +119,7 @@
         "synced_peers",
         "is_urgent",
         "random",
+        "reach_reports",
     )
 
     def __init__(self, own_record: messages.Vm, seed: int) -> None:
@@ -127,6 +130,7 @@
         self.synced_peers: set[str] = set()
         self.is_urgent = False
         self.random = random.Random(seed)
+        self.reach_reports = reachreports.ReachReports(own_record.name)
 
     # Local updates.
 
@@ -147,6 +151,17 @@
         self.own_record.settings_age_ms = age_ms
         self.own_record.load = load
 
+    def update_reach(self, services: list[str], now: float) -> None:
+        """Updates the report of this VM's reach.
+
+        Args:
+            services: Paths of the services that only other VMs reach.
+            now: Time in seconds.
+        """
+        self.is_urgent |= self.reach_reports.update_own(
+            services, self.own_record.incarnation, self.sends_per_update(), now
+        )
+
     def announce(self, record: messages.Upstream, now: float) -> bool:
         """Records an upstream's own announcement.
 
@@ -192,6 +207,10 @@
                     group.service, upstream_heartbeat, now
                 ):
                     self.synced_peers.discard(gossip.sender)
+        for report in gossip.reach_reports:
+            self.is_urgent |= self.reach_reports.merge(
+                report, self.vms, self.sends_per_update(), now
+            )
         if gossip.wants_all_records:
             self.synced_peers.discard(gossip.sender)
 
@@ -316,6 +335,7 @@
             if now - vm.last_seen_at > DEAD_SECONDS:
                 del self.vms[name]
                 self.synced_peers.discard(name)
+        self.reach_reports.remove_expired(now)
         for key, upstream in list(self.upstreams.items()):
             if now - upstream.deadline > MAX_TTL_MS / 1000:
                 del self.upstreams[key]
@@ -357,6 +377,7 @@
                 upstreams,
                 [],
                 wants_all,
+                self.reach_reports.all(now),
             )
         return messages.Gossip(
             self.own_record.name,
@@ -365,6 +386,8 @@
             self._pending_vm_heartbeats(peer, now),
             self._pending_upstreams(now),
             self._pending_upstream_heartbeats(now),
+            False,
+            self.reach_reports.pending(now),
         )
 
     def mark_synced(self, peer: str) -> None:
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -474,6 +474,25 @@
     heartbeats: list[UpstreamHeartbeat]
 
 
+class ReachReport(msgspec.Struct, array_like=True):
+    """Services that a VM does not reach although others do.
+
+    Attributes:
+        vm: Name of the VM, which is the author.
+        incarnation: Incarnation of the VM.
+        number: Number of the report in this incarnation, ascending.
+        services: Paths of the services; none if the VM reaches all again.
+        left_ms: Time in milliseconds for which the report counted when it was
+            sent.
+    """
+
+    vm: str
+    incarnation: int
+    number: int
+    services: list[str]
+    left_ms: int
+
+
 class Gossip(msgspec.Struct, array_like=True):
     """Updates of the membership; each VM forwards an update a few times only.
 
@@ -486,6 +505,8 @@
         upstream_heartbeats: Heartbeats of upstreams, by service.
         wants_all_records: Whether the sender asks for all records of the
             receiver in return.
+        reach_reports: Reports of VMs that do not reach a service. VMs of
+            earlier versions ignore them.
     """
 
     sender: str
@@ -495,6 +516,7 @@
     upstreams: list[Upstream]
     upstream_heartbeats: list[ServiceHeartbeats] = []
     wants_all_records: bool = False
+    reach_reports: list[ReachReport] = []
 
 
 class ReadIndex(msgspec.Struct, array_like=True):
--- a/src/pollenseam/poolreach.py
+++ b/src/pollenseam/poolreach.py
@@ -53,6 +53,12 @@
         reaches = self.services.items()
         return sorted(path for path, reach in reaches if reach.is_unreached)
 
+    def cut_off(self) -> list[str]:
+        """Returns the paths of the services that only other VMs reach."""
+        now = self.now()
+        reaches = self.services.items()
+        return sorted(path for path, reach in reaches if reach.is_cut_off(now))
+
     def is_out_of_reach(self, service: str) -> bool:
         """Returns whether this VM seems to have no way to any upstream."""
         reach = self.services.get(service)
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -314,15 +314,21 @@
             slots += pool_slots
         return min(1.0, used / slots) if slots else 0.0
 
-    def fresh_entries(self) -> list[lookups.Entry]:
+    def fresh_entries(self, service: str = "") -> list[lookups.Entry]:
         """Returns other serving VMs, the best first, to retry a request at.
 
         Their settings, as last reported, are at most half as old as allowed.
+
+        Args:
+            service: Path of the service that the VMs should reach, or "".
         """
         fleet = self.catalog.fleet
         others = self.directory.live(self.now())[1:]
         distances = lookups.region_distances(fleet, self.flags.region)
-        return lookups.rank(others, distances, set(), fleet.freshness_ms // 2)
+        cut_off = self.directory.reach_reports.cut_off(service, self.now())
+        return lookups.rank(
+            others, distances, set(), fleet.freshness_ms // 2, cut_off
+        )
 
     def gauges(self) -> dict[str, float]:
         """Returns the values of the VM's gauges, by metric name."""
--- a/tests/daemoncuts.py
+++ b/tests/daemoncuts.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import pathlib
-import sys
 import time
 
 import aiohttp
@@ -229,7 +228,7 @@
     async def until(self, condition, seconds=20.0):
         deadline = time.monotonic() + seconds
         while not await condition():
-            assert time.monotonic() < deadline, sys._getframe(1).f_code.co_name
+            assert time.monotonic() < deadline, "condition not met in time"
             await asyncio.sleep(0.05)
 
     async def count_first_tries(self, vm, seconds, callers=2):
--- a/tests/test_daemon_cut_off.py
+++ b/tests/test_daemon_cut_off.py
@@ -44,3 +44,125 @@
     print(f"cut {served}/{sent}, others {served_by_others}/{sent_to_others}")
     assert served_by_others >= 0.9 * sent_to_others
     assert served / sent >= MIN_SERVED_RATIO * served_by_others / sent_to_others
+
+
+async def named_vms(bench, vm, service="svc"):
+    page = await bench.page(vm, f"lookup?service={service}")
+    return {entry["vm"] for entry in page["entries"]}
+
+
+async def test_look_ups_name_other_vms_while_a_vm_is_cut_off(tmp_path):
+    """Guards against look-ups that go on naming a VM that is cut off.
+
+    The cut is of one service: the VM stays in the look-ups of the other.
+    """
+    async with daemoncuts.running(
+        tmp_path, svc=["d1", "d2"], other=["d1", "d2"]
+    ) as bench:
+        everyone = set(daemoncuts.VMS)
+        path = "/teams/t/services/svc"
+
+        async def all_name(expected):
+            await bench.request("a1")
+            found = [await named_vms(bench, vm) for vm in everyone]
+            return all(names == expected for names in found)
+
+        assert await all_name(everyone)
+        svc = [u for u in bench.upstreams if u.service == "svc"]
+        bench.cut("a1", "refuse", "reset", svc)
+        await bench.until(lambda: all_name({"a2", "b1"}), 5.0)
+        health = await bench.page("a1", "health")
+        assert (health["state"], health["cut_off"]) == ("serving", [path])
+        assert await bench.metric("a1", "is_cut_off") == 1
+        assert await named_vms(bench, "b1", "other") == everyone
+        status, _, _ = await bench.request("a1", host="other.example")
+        assert status == 200
+        assert await bench.metric("a1", "relays_total") > 0
+        bench.heal("a1")
+        await bench.until(lambda: all_name(everyone), 5.0)
+        assert (await bench.page("a1", "health"))["unreached"] == []
+        [sent, served] = await bench.count_first_tries("a1", 1.0)
+        assert served == sent
+        log = bench.log("a1")
+        assert log.count("event=service-unreached") == 1
+        assert log.count("event=service-reached") == 1
+
+
+async def test_all_vms_of_a_domain_are_served_by_the_other_domain(tmp_path):
+    """Guards against helpers that are all sought among the VMs cut off."""
+    async with daemoncuts.running(tmp_path) as bench:
+        for name in ("a1", "a2"):
+            bench.cut(name, "hang", "reset")
+        await asyncio.gather(
+            *(bench.count_first_tries(n, CONTACT_SECONDS) for n in ("a1", "a2"))
+        )
+        counts = await asyncio.gather(
+            *(bench.count_first_tries(n, 2.5) for n in daemoncuts.VMS)
+        )
+        assert all(served >= MIN_SERVED_RATIO * sent for sent, served in counts)
+        # One of three could not bear the load of all.
+        assert await named_vms(bench, "b1") == set(daemoncuts.VMS)
+
+
+async def test_a_service_that_is_down_for_all_makes_no_vm_leave(tmp_path):
+    """Guards against VMs that all call themselves cut off, and relay in herds.
+
+    Connects are refused to all, as by upstreams that ended.
+    """
+    async with daemoncuts.running(tmp_path) as bench:
+        for name in daemoncuts.VMS:
+            bench.cut(name, "refuse", "reset")
+        for name in daemoncuts.VMS:
+            await bench.count_first_tries(name, 0.5)
+        before = await bench.metric("a1", "relays_total")
+        sent = 0
+        for _ in range(60):
+            sent += 1
+            status, headers, body = await bench.request("a1", method="POST")
+            assert status == 503, body
+            assert headers["Pollenseam-Executed"] == "no"
+            assert int(headers["Retry-After"]) >= 1
+            await asyncio.sleep(0.03)
+        assert await bench.metric("a1", "relays_total") - before <= 12
+        for name in daemoncuts.VMS:
+            assert await named_vms(bench, name) == set(daemoncuts.VMS)
+            assert await bench.metric(name, "is_cut_off") == 0
+
+
+async def test_an_at_most_once_request_never_runs_twice_in_a_cut(tmp_path):
+    """Guards against second runs where helpers fail and callers resend.
+
+    The VMs that may help are frozen or killed with requests in progress; each
+    key is sent again and again, to any VM.
+    """
+    async with daemoncuts.running(tmp_path) as bench:
+        bench.cut("a1", "hang", "reset")
+        await bench.count_first_tries("a1", CONTACT_SECONDS)
+        answers = {}
+
+        async def send(number, vm):
+            headers = {"Idempotency-Key": f"k{number}", "X-Work-Ms": "300"}
+            status, found, body = await bench.request(
+                vm, "/once/1", "POST", headers=headers.items()
+            )
+            answers.setdefault(number, []).append((status, body))
+            return status, found.get("Pollenseam-Executed")
+
+        tasks = [asyncio.create_task(send(n, "a1")) for n in range(12)]
+        await asyncio.sleep(0.25)
+        bench.fleet.daemons["a2"].kill()
+        first = await asyncio.gather(*tasks)
+        assert {status for status, _ in first} & {200}
+        refused = [e for status, e in first if status in (502, 504)]
+        assert all(executed == "unknown" for executed in refused)
+        for vm in ("a1", "b1"):
+            await asyncio.gather(*(send(n, vm) for n in range(12)))
+    runs = {}
+    for upstream in bench.upstreams:
+        for key, count in upstream.stand_in.runs.items():
+            runs[key] = runs.get(key, 0) + count
+    assert all(runs.get(f"k{n}", 0) <= 1 for n in range(12)), runs
+    for number, found in answers.items():
+        bodies = {body for status, body in found if status == 200}
+        assert len(bodies) <= 1
+        assert not bodies or runs[f"k{number}"] == 1
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -76,9 +76,9 @@
 )
 
 
-def ranked(vms, served=("a", "b", "c"), origin="a"):
+def ranked(vms, served=("a", "b", "c"), origin="a", cut_off=()):
     distances = lookups.region_distances(FLEET, origin)
-    entries = lookups.rank(vms, distances, set(served), 5000)
+    entries = lookups.rank(vms, distances, set(served), 5000, cut_off)
     return [entry.vm for entry in entries]
 
 
@@ -101,3 +101,13 @@
         vm("a5", "a"),
     ]
     assert ranked(vms) == ["a5"]
+
+
+def test_vms_cut_off_are_left_out_while_enough_others_of_their_region_reach():
+    """Guards against callers sent to VMs that reach no upstream, or to none."""
+    vms = [vm(n, "a") for n in ("a1", "a2", "a3", "a4")] + [vm("b1", "b")]
+    assert ranked(vms, cut_off={"a1", "a3"}) == ["a2", "a4", "b1"]
+    # The rest could not bear the load of all; those cut off serve through it.
+    cut_off = {"a1", "a2", "a3"}
+    assert ranked(vms, cut_off=cut_off) == ["a1", "a2", "a3", "a4", "b1"]
+    assert len(ranked(vms, cut_off={v.name for v in vms})) == 5
