--- a/src/pollenseam/exchangerelay.py
+++ b/src/pollenseam/exchangerelay.py
@@ -27,6 +27,8 @@
 # Time for which the list of helpers is used before it is made again.
 HELPERS_SECONDS = 0.25
 IDLE_CHECK_SECONDS = 1.0
+# Streamed bodies that are buffered, of all requests.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
 
 class ExchangeRelay:
@@ -36,6 +38,7 @@
         vm: State of this VM: settings, directory, upstreams and metrics.
         relayer: Chooses helpers and gives them calls.
         helpers_until: Time until which the relayer's list of helpers is used.
+        buffered_bytes: Bytes reserved for streamed bodies.
     """
 
     def __init__(self, local_vm: vm.Vm) -> None:
@@ -50,6 +53,7 @@
             local_vm.metrics.relays,
         )
         self.helpers_until = 0.0
+        self.buffered_bytes = 0
 
     async def run(self) -> None:
         """Closes connections to helpers that are not used, until cancelled."""
@@ -76,7 +80,16 @@
             RefusedError: There is no response, or the body is too large or
                 incomplete.
         """
-        await self._buffer_body(exchange)
+        reserved_bytes = self._reserve_buffer(exchange)
+        try:
+            await self._buffer_body(exchange)
+            return await self._send_buffered(exchange)
+        finally:
+            self.buffered_bytes -= reserved_bytes
+
+    async def _send_buffered(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.StreamingResponse:
         self._update_helpers(exchange.route.service.path)
         exchange.relays += 1
         was_sent = exchange.is_sent
@@ -89,12 +102,32 @@
             raise
         return _apply(exchange, response, was_sent)
 
+    def _reserve_buffer(self, exchange: exchanges.Exchange) -> int:
+        """Reserves memory for a streamed body; returns how many bytes.
+
+        Raises:
+            NoHelpError: The body is too large, or there are too many.
+        """
+        if exchange.body is not None:
+            return 0
+        limit = relaying.MAX_BODY_BYTES
+        length = limit
+        if exchange.content_length is not None:
+            length = exchange.content_length
+        if length > limit:
+            raise relaying.NoHelpError(_too_large(limit), False)
+        if self.buffered_bytes + length > MAX_BUFFERED_BYTES:
+            raise relaying.NoHelpError(
+                f"{self.buffered_bytes} bytes of bodies wait to be relayed",
+                False,
+            )
+        self.buffered_bytes += length
+        return length
+
     async def _buffer_body(self, exchange: exchanges.Exchange) -> None:
         if exchange.body is not None:
             return
         limit = relaying.MAX_BODY_BYTES
-        if (exchange.content_length or 0) > limit:
-            raise relaying.NoHelpError(_too_large(limit), False)
         body = bytearray()
         try:
             async for chunk in exchange.content.iter_any():
--- a/tests/test_exchangerelay.py
+++ b/tests/test_exchangerelay.py
@@ -9,6 +9,7 @@
 import test_relaying
 
 from pollenseam import events
+from pollenseam import exchangerelay
 from pollenseam import messages
 from pollenseam import peers
 from pollenseam import relaying
@@ -171,6 +172,28 @@
     assert [len(message.body) for message in helper.received] == [120_000]
 
 
+async def test_bodies_that_wait_to_be_relayed_are_bounded_together(
+    tmp_path, monkeypatch
+):
+    """Guards against a cut-off VM that fills its memory with bodies."""
+    monkeypatch.setattr(exchangerelay, "MAX_BUFFERED_BYTES", 250_000)
+    async with cut_off(tmp_path, test_relaying.never_answers) as (bench, _):
+        relay = bench.daemon.forwarder.relay
+        waiting = [
+            asyncio.ensure_future(
+                bench.request("POST", data=b"x" * 100_000).__aenter__()
+            )
+            for _ in range(2)
+        ]
+        await bench.until(lambda: relay.buffered_bytes == 200_000)
+        async with bench.request("POST", data=b"x" * 100_000) as response:
+            found = await test_forwarder.refusal(response)
+            assert found == (503, "no-room", "no")
+        for task in waiting:
+            task.cancel()
+        await bench.until(lambda: relay.buffered_bytes == 0)
+
+
 async def test_a_caller_that_leaves_ends_the_relayed_request(tmp_path):
     """Guards against work for nobody at the helper."""
     async with cut_off(tmp_path, test_relaying.never_answers) as (
