Daemon: a streamed body is sent whole or not at all

Cause: a shed request is sent again, and what the first attempt had read of the streamed body was gone.

Change: an exchange knows that a part of its streamed body was read; when it is shed then, it is refused, not run, with 503 no-room. Such requests were served with a part of their body before and are refused now; keeping the first part to send it again would serve them, and is not built.

--- a/src/pollenseam/exchanges.py
+++ b/src/pollenseam/exchanges.py
@@ -50,6 +50,8 @@
         is_helpless: Whether no other VM could send it.
         is_sent: Whether a byte of the request may have reached an upstream, in
             an attempt that was not shed.
+        is_partly_read: Whether a part of the streamed body was read, so that
+            the rest must not be sent as the whole.
         body_refusal: Why the streamed body was aborted, or None.
         claim: Digest that identifies the request's claim, or "".
         attempt: Id of the attempt that has the claim, or "".
@@ -79,6 +81,7 @@
         "relays",
         "is_helpless",
         "is_sent",
+        "is_partly_read",
         "body_refusal",
         "claim",
         "attempt",
@@ -117,6 +120,7 @@
         self.relays = 0
         self.is_helpless = False
         self.is_sent = False
+        self.is_partly_read = False
         self.body_refusal: errors.Refusal | None = None
         self.claim = ""
         self.attempt = ""
--- a/src/pollenseam/exchangesending.py
+++ b/src/pollenseam/exchangesending.py
@@ -197,6 +197,7 @@
         size = 0
         try:
             async for chunk in exchange.content.iter_chunked(CHUNK_BYTES):
+                exchange.is_partly_read = True
                 size += len(chunk)
                 if size > limit:
                     raise _too_large(limit)
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -295,6 +295,15 @@
             exchange.is_sent = was_sent
             exchange.received_by.discard(reservation.upstream.record.name)
             self._record_shed(reservation)
+            if exchange.is_partly_read:
+                raise _FinalRefusedError(
+                    errors.Refusal(
+                        errors.Kind.NO_ROOM,
+                        "the upstream had no room, and a part of the streamed "
+                        "body was read",
+                        "no",
+                    )
+                )
             raise _ShedError
         return exchanges.StreamingResponse(response, reservation, exchange)
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -104,3 +104,29 @@
     async with bench.session.get(url) as response:
         health = await response.json()
     assert (health["state"], health["unreached"]) == ("serving", [SERVICE])
+
+
+@pytest.mark.parametrize("delay_seconds", [0.0, 0.02])
+async def test_a_streamed_body_is_sent_whole_or_not_at_all(
+    bench, delay_seconds
+):
+    """Guards against the rest of a body that runs as the whole one.
+
+    One upstream shed the request when it had received a part of the body; the
+    other one got what was left, and ran it.
+    """
+    full = await bench.add_upstream("u1", slots=1)
+    full.running = 1
+    await bench.add_upstream("u2", slots=1)
+
+    async def chunks():
+        for _ in range(15):
+            yield b"x" * 10_000
+            await asyncio.sleep(delay_seconds)
+
+    for _ in range(10):
+        async with bench.request("POST", "/echo", data=chunks()) as response:
+            if response.status == 200:
+                assert len(await response.read()) == 150_000
+            else:
+                assert await refusal(response) == (503, "no-room", "no")
