--- a/tests/daemoncuts.py
+++ b/tests/daemoncuts.py
@@ -210,6 +210,12 @@
     def log(self, vm):
         return self.fleet.daemons[vm].log.read_text()
 
+    def failed_relays(self, vm):
+        """Returns the log lines of relayed requests without a reply."""
+        lines = self.log(vm).splitlines()
+        relayed = [line for line in lines if "event=relayed" in line]
+        return [line for line in relayed if "outcome=replied" not in line]
+
     def cut(self, vm, connects, kept, upstreams=None):
         """Cuts a VM off; the modes are those of `cuts.CutCluster.cut`."""
         targets = "*"
--- a/tests/test_daemon_cut_off.py
+++ b/tests/test_daemon_cut_off.py
@@ -215,3 +215,25 @@
         assert code == 0
         assert await bench.metric("a1", "relays_total") - before > 20
         assert set(statuses) == {200}, statuses
+
+
+async def test_kept_connections_that_live_on_are_no_way_for_all_requests(
+    tmp_path,
+):
+    """Guards against requests that wait for connects beside others that run.
+
+    New connections hang. The kept ones to half of the upstreams are reset, the
+    others live on. A helper is frozen, too.
+    """
+    async with daemoncuts.running(tmp_path) as bench:
+        await bench.count_first_tries("a1", 1.0, callers=6)
+        bench.cut("a1", "hang", "live")
+        for upstream in bench.upstreams[:2]:
+            upstream.proxy.reset(bench.fleet.source_ips["a1"])
+        bench.fleet.daemons["a2"].pause()
+        await bench.count_first_tries("a1", CONTACT_SECONDS, callers=6)
+        sent, served = await bench.count_first_tries("a1", 3.0, callers=6)
+        bench.fleet.daemons["a2"].resume()
+        print(f"sent {sent}, served {served}", *bench.refused[-3:], sep="\n")
+        print(*bench.failed_relays("a1")[-40:], sep="\n")
+        assert served >= MIN_SERVED_RATIO * sent
