--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -1,27 +1,25 @@
 """Forwards requests to upstreams, with retries, and returns the responses."""
 
 import asyncio
-from collections.abc import AsyncIterator
-
-import aiohttp
-import yarl
 
 from pollenseam import admission
 from pollenseam import catalog
+from pollenseam import connects
 from pollenseam import crashwatch
 from pollenseam import errors
+from pollenseam import exchangerelay
 from pollenseam import exchanges
-from pollenseam import headers
+from pollenseam import exchangesending
 from pollenseam import lifecycles
-from pollenseam import sessions
+from pollenseam import relaying
 from pollenseam import shifts
-from pollenseam import traces
 from pollenseam import upstreams
 from pollenseam import vm
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
-CHUNK_BYTES = 64 * 1024
 MAX_ATTEMPTS = 3
+# Failed connects after which another VM is asked to send a request.
+MAX_OWN_CONNECT_FAILURES = 2
 # A request is sent once more after the connection broke; it may be what crashes
 # the upstreams.
 MAX_BREAKS = 1
@@ -29,6 +27,10 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
+class _FinalRefusedError(errors.RefusedError):
+    """The request was refused and must not be tried again."""
+
+
 class _ShedError(Exception):
     """The upstream shed the request: it declared that it did not run it."""
 
@@ -41,8 +43,8 @@
         admission: Grants rate tokens and slots on upstreams.
         retry_budgets: Retry budgets by service path.
         active_shifts: State of running shifts by path.
-        session: HTTP client session for all upstreams.
-        crash_watch: Finds out which upstreams ended with requests of this VM.
+        sender: Sends requests to upstreams.
+        relay: Has requests sent by other VMs.
     """
 
     def __init__(
@@ -52,15 +54,18 @@
         self.admission = admission_control
         self.retry_budgets: dict[str, upstreams.RetryBudget] = {}
         self.active_shifts: dict[str, shifts.ActiveShift] = {}
-        self.session = sessions.open_session()
-        self.crash_watch = crashwatch.CrashWatch(
-            local_vm.log, local_vm.now, self._record_crash, self._is_leaving
+        self.sender = exchangesending.ExchangeSender(
+            local_vm,
+            crashwatch.CrashWatch(
+                local_vm.log, local_vm.now, self._record_crash, self._is_leaving
+            ),
         )
+        self.relay = exchangerelay.ExchangeRelay(local_vm)
 
     async def close(self) -> None:
-        """Closes all connections to upstreams."""
-        self.crash_watch.close()
-        await self.session.close()
+        """Closes all connections to upstreams and to other VMs."""
+        await self.sender.close()
+        await self.relay.close()
 
     async def send(
         self, exchange: exchanges.Exchange
@@ -84,21 +89,59 @@
         while True:
             reservation = await self._reserve(exchange, last_refusal)
             try:
-                return await self._attempt(exchange, reservation)
+                if reservation is not None:
+                    return await self._attempt(exchange, reservation)
+                response = await self._relay(exchange, last_refusal)
+                if response is not None:
+                    return response
             except _ShedError:
                 continue
+            except connects.PreventedError:
+                exchange.is_prevented = True
+            except _FinalRefusedError:
+                raise
             except errors.RefusedError as error:
                 last_refusal = error.refusal
                 if not self._may_retry(exchange, budget):
                     raise
                 self.vm.metrics.retries += 1
 
+    async def _relay(
+        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
+    ) -> exchanges.StreamingResponse | None:
+        """Has a request sent by another VM.
+
+        Returns:
+            The response, or None if this VM is to send the request after all.
+
+        Raises:
+            RefusedError: There is no response.
+        """
+        if exchange.is_relayed or exchange.is_helpless:
+            raise _unreached(exchange, last_refusal)
+        service = exchange.route.service.path
+        try:
+            return await self.relay.send(exchange)
+        except relaying.NoHelpError as error:
+            exchange.is_helpless = True
+            exchange.is_prevented = False
+            if not self.vm.reach_watch.reach(service).is_unreached:
+                return None
+            raise _unreached(exchange, last_refusal, str(error)) from error
+        except errors.RefusedError as error:
+            if error.refusal.executed != "no":
+                raise
+            # An earlier attempt may have run.
+            is_sent = exchange.is_sent and last_refusal is not None
+            refusal = last_refusal if is_sent else None
+            raise _FinalRefusedError(refusal or error.refusal) from error
+
     def _check_crashes(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that is blocked for crashing upstreams."""
         watchlist = self.vm.fleet_view.watchlist
         if watchlist.is_empty or not exchange.fingerprint:
             return
-        exchange.is_suspect = watchlist.check(
+        exchange.is_suspect |= watchlist.check(
             exchange.fingerprint, self.vm.now()
         )
 
@@ -112,19 +155,6 @@
         self.vm.fleet_view.watchlist.record_crash(run)
         self.vm.lease_wake.set()
 
-    def _record_break(
-        self, exchange: exchanges.Exchange, upstream: upstreams.Upstream
-    ) -> None:
-        """Records that the connection broke after a request was sent."""
-        exchange.breaks += 1
-        record = upstream.record
-        if not exchange.fingerprint:
-            return
-        start = crashwatch.UpstreamStart(
-            record.name, record.incarnation, record.service, record.address
-        )
-        self.crash_watch.record_break(exchange.fingerprint, start)
-
     def _may_retry(
         self, exchange: exchanges.Exchange, budget: upstreams.RetryBudget
     ) -> bool:
@@ -132,18 +162,31 @@
             exchange.breaks and exchange.is_suspect
         ):
             return False
-        if exchange.is_sent and not exchange.may_resend:
+        if not exchange.is_sent:
+            # The budget is for work that upstreams get once more.
+            failures = exchange.connect_failures
+            return failures < MAX_ATTEMPTS and not exchange.is_helpless
+        if exchange.is_relayed or exchange.relays >= MAX_ATTEMPTS:
+            return False
+        if len(exchange.tried) >= MAX_ATTEMPTS:
             return False
-        return len(exchange.tried) < MAX_ATTEMPTS and budget.try_spend()
+        return exchange.may_resend and budget.try_spend()
 
     async def _reserve(
         self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
-    ) -> exchanges.Reservation:
+    ) -> exchanges.Reservation | None:
+        """Reserves a slot; returns None if another VM is to help.
+
+        Raises:
+            RefusedError: No upstream has a free slot in time.
+        """
         service = exchange.route.service
         shifted = self._reserve_in_shift_target(service, exchange)
         if shifted is not None:
             return exchanges.Reservation(service.path, shifted, self.vm.now())
-        if last_refusal is not None:
+        if self._needs_helper(exchange):
+            return None
+        if exchange.is_sent or (exchange.is_relayed and exchange.tried):
             return self._reserve_untried(exchange, last_refusal)
         upstream = await self.admission.take_slot(
             service,
@@ -151,22 +194,37 @@
             exchange.weight,
             exchange.queue_deadline,
         )
+        if upstream is None:
+            return None
         return exchanges.Reservation(service.path, upstream, self.vm.now())
 
+    def _needs_helper(self, exchange: exchanges.Exchange) -> bool:
+        service = exchange.route.service.path
+        is_out_of_reach = self.vm.reach_watch.is_out_of_reach(service)
+        if is_out_of_reach or exchange.is_prevented:
+            return True
+        failures = exchange.connect_failures
+        return failures >= MAX_OWN_CONNECT_FAILURES and not exchange.is_helpless
+
     def _reserve_untried(
-        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal
+        self, exchange: exchanges.Exchange, last_refusal: errors.Refusal | None
     ) -> exchanges.Reservation:
         """Reserves a slot on an untried upstream of this VM's region.
 
         Raises:
             RefusedError: No such upstream has a free slot. Carries
-                `last_refusal`.
+                `last_refusal`, if there is one.
         """
         service = exchange.route.service.path
         region = self.vm.flags.region
         upstream = self.admission.try_take_slot(service, region, exchange.tried)
         if upstream is None:
-            raise errors.RefusedError(last_refusal)
+            raise errors.RefusedError(
+                last_refusal
+                or errors.Refusal(
+                    errors.Kind.NO_ROOM, "no other upstream has a free slot"
+                )
+            )
         return exchanges.Reservation(service, upstream, self.vm.now())
 
     def _reserve_in_shift_target(
@@ -219,7 +277,7 @@
     ) -> exchanges.StreamingResponse:
         was_sent = exchange.is_sent
         try:
-            response = await self._request(exchange, reservation)
+            response = await self.sender.request(exchange, reservation)
         except asyncio.CancelledError:
             self._record_timeout(exchange, reservation)
             self.admission.release_slot(
@@ -235,7 +293,17 @@
         if response.status == shed.status and shed.header in response.headers:
             response.close()
             exchange.is_sent = was_sent
+            exchange.received_by.discard(reservation.upstream.record.name)
             self._record_shed(reservation)
+            if exchange.is_partly_read:
+                raise _FinalRefusedError(
+                    errors.Refusal(
+                        errors.Kind.NO_ROOM,
+                        "the upstream had no room, and a part of the streamed "
+                        "body was read",
+                        "no",
+                    )
+                )
             raise _ShedError
         return exchanges.StreamingResponse(response, reservation, exchange)
 
@@ -246,52 +314,6 @@
         )
         self.admission.release_slot(reservation.service, reservation.upstream)
 
-    async def _request(
-        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
-    ) -> aiohttp.ClientResponse:
-        pool = self.vm.pool(reservation.service)
-        was_sent = exchange.is_sent
-        name = reservation.upstream.record.name
-        if self.vm.trace.is_on:
-            self._trace_sent(exchange, reservation)
-        # From here on a byte may reach the upstream, unless connecting fails.
-        exchange.is_sent = True
-        try:
-            return await self._send_request(exchange, reservation)
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            exchange.is_sent = was_sent
-            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
-            exchange.tried.add(name)
-            raise _upstream_failure(exchange, "is unreachable") from error
-        except (aiohttp.ClientError, OSError) as error:
-            if exchange.body_refusal is not None:
-                raise errors.RefusedError(exchange.body_refusal) from error
-            pool.record_failure(reservation.upstream, 0.0, self.vm.now())
-            exchange.tried.add(name)
-            self._record_break(exchange, reservation.upstream)
-            raise _upstream_failure(exchange, "broke the connection") from error
-
-    def _trace_sent(
-        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
-    ) -> None:
-        upstream = reservation.upstream
-        now = self.vm.now()
-        self.vm.trace.add(
-            traces.Sent(
-                now,
-                upstream.record.name,
-                upstream.record.state,
-                int((upstream.deadline - now) * 1000),
-                upstream.in_flight,
-                upstream.record.slots,
-                exchange.claim,
-                exchange.attempt,
-            )
-        )
-
     def _record_timeout(
         self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
     ) -> None:
@@ -305,55 +327,6 @@
                 reservation.upstream, elapsed_seconds, self.vm.now()
             )
 
-    async def _send_request(
-        self, exchange: exchanges.Exchange, reservation: exchanges.Reservation
-    ) -> aiohttp.ClientResponse:
-        request = exchange.request
-        forwarded = headers.to_upstream(request.headers, exchange.key)
-        if exchange.workspace:
-            forwarded[headers.WORKSPACE] = exchange.workspace.rpartition("/")[2]
-        left_ms = int((exchange.deadline - self.vm.now()) * 1000)
-        forwarded[headers.TIMEOUT] = str(max(1, left_ms))
-        forwarded["Host"] = request.headers["Host"]
-        data: bytes | AsyncIterator[bytes] | None = exchange.body or None
-        if exchange.body is None:
-            data = self._stream_body(exchange)
-            length = request.content_length
-            if length is not None:
-                forwarded["Content-Length"] = str(length)
-        address = reservation.upstream.record.address
-        return await self.session.request(
-            request.method,
-            yarl.URL(f"http://{address}{exchange.target}", encoded=True),
-            headers=forwarded,
-            data=data,
-            allow_redirects=False,
-        )
-
-    async def _stream_body(
-        self, exchange: exchanges.Exchange
-    ) -> AsyncIterator[bytes]:
-        limit = exchange.route.service.max_body_bytes
-        size = 0
-        try:
-            async for chunk in exchange.request.content.iter_chunked(
-                CHUNK_BYTES
-            ):
-                size += len(chunk)
-                if size > limit:
-                    raise _too_large(limit)
-                yield chunk
-        except errors.RefusedError as error:
-            exchange.body_refusal = error.refusal
-            raise
-        except (aiohttp.ClientError, OSError) as error:
-            exchange.body_refusal = errors.Refusal(
-                errors.Kind.MALFORMED,
-                "the body is incomplete",
-                executed="unknown",
-            )
-            raise errors.RefusedError(exchange.body_refusal) from error
-
     def finish(
         self, streaming: exchanges.StreamingResponse, is_complete: bool
     ) -> None:
@@ -371,11 +344,18 @@
             response.release()
         else:
             response.close()
+        if reservation is None:
+            # The VM that sent it has recorded the outcome.
+            return
         watchlist = self.vm.fleet_view.watchlist
         if is_complete and not watchlist.is_empty:
             watchlist.record_success(streaming.exchange.fingerprint)
         now = self.vm.now()
         pool = self.vm.pool(reservation.service)
+        if is_complete and self.sender.is_near(reservation):
+            self.vm.reach_watch.record_reply(
+                reservation.service, reservation.upstream.record.name
+            )
         elapsed_seconds = now - reservation.started
         if is_complete and response.status < 500:
             pool.record_success(reservation.upstream, elapsed_seconds, now)
@@ -384,18 +364,18 @@
         self.admission.release_slot(reservation.service, reservation.upstream)
 
 
-def _too_large(limit: int) -> errors.RefusedError:
-    return errors.refuse(
-        errors.Kind.BODY_TOO_LARGE,
-        f"the body is larger than {limit} bytes",
-        executed="unknown",
-    )
-
-
-def _upstream_failure(
-    exchange: exchanges.Exchange, what: str
+def _unreached(
+    exchange: exchanges.Exchange,
+    last_refusal: errors.Refusal | None,
+    why: str = "no other VM was asked",
 ) -> errors.RefusedError:
-    executed = "unknown" if exchange.is_sent else "no"
-    return errors.refuse(
-        errors.Kind.UPSTREAM_FAILED, f"the upstream {what}", executed=executed
+    """Returns the refusal of a request whose service is out of reach."""
+    if last_refusal is not None and exchange.is_sent:
+        return _FinalRefusedError(last_refusal)
+    refusal = errors.Refusal(
+        errors.Kind.NO_ROOM,
+        f"this VM reaches no upstream of the service; {why}",
+        "no",
     )
+    refusal.unreached_service = exchange.route.service.path
+    return _FinalRefusedError(refusal)
