Full disks: a folder that cannot be opened again leaves no descriptor behind

What was seen: nothing yet by callers. A control VM whose disk is full opens its folder every 0.3 s; each try left the log's last segment open. 4,000 descriptors last for 20 minutes; then the process can accept nothing, and the folder cannot be opened either, with room or without. Cause: the segment was opened by recover() before rewrite_segments() failed, and nobody closed it. Class: what was half opened belongs to nobody. Ruled out: gRPC and sockets; the open files lie in the data folder. Change: the module datafolder opens a folder, closes it if that fails, and opens it again after an error.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -13,12 +13,12 @@
 
 from pollenseam import commands
 from pollenseam import controlmessages
+from pollenseam import datafolder
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import freshness
 from pollenseam import items
 from pollenseam import joining
-from pollenseam import journal
 from pollenseam import leases
 from pollenseam import lending
 from pollenseam import liveness
@@ -46,8 +46,6 @@
 # Compressed size above which a patch is refused. A link of 2 Mbit/s transfers
 # it in 1.25 s, half of the 2.5 s within which a change must be in force.
 MAX_PATCH_TRANSFER_BYTES = 312_500
-# Delay before the data folder is opened again after a disk error.
-REOPEN_SECONDS = 0.3
 # Age of the local state above which this VM refuses heartbeats of upstreams,
 # so that they announce to another control VM.
 LEADER_UNREACHABLE_SECONDS = 1.5
@@ -220,10 +218,14 @@
 
     def _open(self) -> replicarunner.ReplicaRunner:
         settings = self.settings
-        local_journal = journal.open_journal(
-            settings.data_folder, settings.name
+        return self._open_runner(
+            datafolder.read(settings.data_folder, settings.name)
         )
-        recovered = local_journal.recover()
+
+    def _open_runner(
+        self, opened: datafolder.Opened
+    ) -> replicarunner.ReplicaRunner:
+        local_journal, recovered = opened
         runner = replicarunner.open_runner(
             local_journal,
             recovered,
@@ -231,7 +233,7 @@
             self.log,
             self.now,
             "",
-            settings.address,
+            self.settings.address,
             time.time_ns(),
         )
         runner.on_applied = self._on_applied
@@ -261,22 +263,12 @@
                 await self.replica_runner.run()
             finally:
                 join_task.cancel()
-            await self._reopen()
-
-    async def _reopen(self) -> None:
-        while True:
-            await asyncio.sleep(REOPEN_SECONDS)
-            try:
-                # After a failed write, data read back from the kernel's cache
-                # may not be on the disk, so all of it is written again.
-                runner = self._open()
-                runner.journal.rewrite_segments()
-            except (OSError, errors.DamagedError) as error:
-                self.log.emit("disk-refuses", reason=str(error))
-                continue
-            self.replica_runner = runner
-            self.log.emit("replica-restarted", replica=runner.replica.id)
-            return
+            self.replica_runner = await datafolder.reopen(
+                self.settings.data_folder,
+                self.settings.name,
+                self._open_runner,
+                self.log,
+            )
 
     def _on_applied(self) -> None:
         if self.applied_registry.index != self._index:
@@ -748,4 +740,4 @@
             return ControlVm(settings, log, peer_client)
         except OSError as error:
             log.emit("disk-refuses", reason=str(error))
-            await asyncio.sleep(REOPEN_SECONDS)
+            await asyncio.sleep(datafolder.REOPEN_SECONDS)
--- a/tests/test_controlvm.py
+++ b/tests/test_controlvm.py
@@ -9,6 +9,7 @@
 
 from pollenseam import controlmessages
 from pollenseam import controlvm
+from pollenseam import datafolder
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import items
@@ -119,7 +120,7 @@
         return real_open_journal(folder, vm)
 
     monkeypatch.setattr(journal, "open_journal", open_journal)
-    monkeypatch.setattr(controlvm, "REOPEN_SECONDS", 0.001)
+    monkeypatch.setattr(datafolder, "REOPEN_SECONDS", 0.001)
     log = events.open_log("c1", stream=io.StringIO())
     peer_client = peers.Client(log.clock)
     async with asyncio.timeout(10):
