Control VMs: a voter that was taken out while its disk was full joins again

Cause: a voter that is silent for 3 s is taken out if another VM of its failure domain votes. A VM joins when its own log does not name it, or when the leader says so in answer to a watch. A leader whose disk got full knows neither: its log calls it a voter, the others ignore its votes, and without a leader's address it sends no watch. Class: a replica that trusts its own log for its membership, and waits to be called. Ruled out: the disk (replica-restarted was logged), a higher term, the Joiner (it ends as soon as the own log names the replica). Change: a replica that has not heard from a leader for an election time-out asks one other control VM, drawn by lot, at each watch interval; the leader takes it in as a learner, or does nothing if it is a member. Read in the code, not run: a freeze or a cut of over 3 s takes a voter out likewise.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import time
 
 import msgspec
@@ -378,8 +379,12 @@
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
             runner = self.replica_runner
             self._log_leader_reachability()
+            if runner.is_leader:
+                continue
+            if runner.has_lost_leader():
+                await self._ask_to_join()
             address = runner.leader_address
-            if runner.is_leader or not address:
+            if not address:
                 continue
             announced_ids = sorted(self.unreported_ids)
             request = controlmessages.Watch(
@@ -415,6 +420,21 @@
             await asyncio.sleep(0.01)
         self.freshness.record_age(sent_at, response.age_ms)
 
+    async def _ask_to_join(self) -> None:
+        """Asks one other control VM, drawn by lot, for the quorum's leader.
+
+        A replica that was taken out while it could not take part is sent
+        nothing any more, and its own log may still say that it is a voter.
+        """
+        addresses = joining.other_addresses(
+            self.replica_runner.replica.members,
+            self.settings.seeds,
+            self.own_record,
+        )
+        if addresses:
+            address = random.choice(addresses)
+            await joining.request_join(self.peers, address, self.own_record)
+
     def _log_leader_reachability(self) -> None:
         is_reachable = self.is_leader_reachable()
         if is_reachable != self._was_leader_reachable:
--- a/src/pollenseam/joining.py
+++ b/src/pollenseam/joining.py
@@ -119,9 +119,7 @@
         if self.own_record.replica_id in members.voters and self.may_bootstrap:
             self._store_members(runner, members)
             return
-        for address in [*members.voters.values(), *self.seeds]:
-            if address == self.own_record.address:
-                continue
+        for address in other_addresses(members, self.seeds, self.own_record):
             if await request_join(self.peers, address, self.own_record):
                 return
 
@@ -134,6 +132,22 @@
         self.log.emit("quorum-founded", voters=",".join(members.voters))
 
 
+def other_addresses(
+    members: messages.Members,
+    seeds: list[str],
+    own_record: controlmessages.ControlVm,
+) -> list[str]:
+    """Returns the addresses at which this VM can ask about the quorum.
+
+    Args:
+        members: The latest configuration that this VM has.
+        seeds: Addresses of control VMs; may include the own address.
+        own_record: Record of this VM.
+    """
+    known = [*members.voters.values(), *members.learners.values(), *seeds]
+    return [a for a in dict.fromkeys(known) if a != own_record.address]
+
+
 async def request_join(
     peer_client: peers.Client,
     address: str,
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -131,6 +131,16 @@
         ids = members.voters.keys() | members.learners.keys()
         return not self.failure_reason and self.replica.id in ids
 
+    def has_lost_leader(self) -> bool:
+        """Whether this replica runs and has not heard from a leader lately.
+
+        The limit is ELECTION_TIMEOUT_SECONDS. A leader hears from itself.
+        """
+        if self.failure_reason or self.replica.role == replica.LEADER:
+            return False
+        silent_seconds = self.now() - self.replica.leader_contact_at
+        return silent_seconds > replica.ELECTION_TIMEOUT_SECONDS
+
     def replicas(self) -> list[messages.ReplicaRecord]:
         """Returns all replicas in this replica's configuration."""
         core = self.replica
--- a/tests/fulldisks.py
+++ b/tests/fulldisks.py
@@ -175,6 +175,10 @@
         leading = [n for n, v in self.vms.items() if v.replica_runner.is_leader]
         return leading[0] if len(leading) == 1 else ""
 
+    def members(self, name):
+        """Returns the configuration that a VM has."""
+        return self.vms[name].replica_runner.replica.members
+
     def all_vote(self):
         """Returns whether the leader's voters are exactly the running VMs.
 
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -36,3 +36,28 @@
     cluster.disks.free(folder)
     assert await cluster.patch("w", 1)
     await cluster.kill_all()
+
+
+async def test_a_voter_taken_out_while_its_disk_was_full_votes_again(controls):
+    """Guards against a control VM that nobody asks back into the quorum.
+
+    The leader's disk got full, the next leader took it out, as another VM of
+    its failure domain votes, and its own log still said that it is a voter.
+    """
+    cluster = controls(4, domain_count=2)
+    await cluster.start_all(may_bootstrap=True)
+    victim = cluster.leader()
+    id = cluster.vms[victim].replica_runner.replica.id
+    cluster.disks.fill(cluster.data_folder(victim), "write")
+
+    def is_taken_out():
+        leader = cluster.leader()
+        return leader and id not in cluster.members(leader).voters
+
+    assert await cluster.patch("w", 1)
+    await cluster.until(is_taken_out, 10.0)
+    cluster.disks.free(cluster.data_folder(victim))
+    await cluster.until(cluster.all_vote, fulldisks.RETURN_SECONDS)
+    assert await cluster.patch("w", 2)
+    await cluster.until(cluster.is_equal_everywhere, 2.0)
+    await cluster.kill_all()
