--- /dev/null
+++ b/src/pollenseam/outbox.py
@@ -0,0 +1,97 @@
+"""Sends a replica's messages to the other replicas, by one stream to each."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from pollenseam import errors
+from pollenseam import messages
+from pollenseam import peers
+from pollenseam import quorumlog
+from pollenseam import replica
+
+MAX_BATCH_MESSAGES = 64
+MAX_QUEUED_MESSAGES = 1024
+RECONNECT_DELAY_SECONDS = 0.05
+
+
+class Outbox:
+    """Queues of messages to the other replicas, and the tasks that send them.
+
+    Attributes:
+        replica: Consensus core of the replica that sends.
+        own_address: Its address for other VMs.
+        peers: Client for calls to other VMs.
+        reported_addresses: Addresses that other replicas gave as their own,
+            by id.
+    """
+
+    def __init__(
+        self,
+        core: replica.Replica,
+        own_address: str,
+        peer_client: peers.Client,
+    ) -> None:
+        self.replica = core
+        self.own_address = own_address
+        self.peers = peer_client
+        self.reported_addresses: dict[str, str] = {}
+        self._queues: dict[str, asyncio.Queue[messages.AnyMessage]] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def enqueue(self, outbound: list[quorumlog.Outbound]) -> None:
+        """Queues messages; drops the oldest ones of a queue that is full."""
+        for outgoing in outbound:
+            queue = self._get_queue(outgoing.receiver)
+            if queue.full():
+                # The oldest message is the most likely to be out of date.
+                queue.get_nowait()
+            queue.put_nowait(outgoing.message)
+
+    def cancel(self) -> None:
+        """Stops to send."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _get_queue(self, id: str) -> "asyncio.Queue[messages.AnyMessage]":
+        queue = self._queues.get(id)
+        if queue is None:
+            queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
+            self._queues[id] = queue
+            task = asyncio.create_task(self._send_to(id, queue))
+            self._tasks[id] = task
+        return queue
+
+    async def _send_to(
+        self, id: str, queue: "asyncio.Queue[messages.AnyMessage]"
+    ) -> None:
+        while True:
+            address = self._find_address(id)
+            if not address:
+                await queue.get()
+                continue
+            with contextlib.suppress(errors.UnreachableError):
+                await self.peers.stream(
+                    address, peers.DELIVER, self._batches(id, address, queue)
+                )
+            await asyncio.sleep(RECONNECT_DELAY_SECONDS)
+
+    async def _batches(
+        self,
+        id: str,
+        address: str,
+        queue: "asyncio.Queue[messages.AnyMessage]",
+    ) -> AsyncIterator[messages.Batch]:
+        """Yields queued messages until the receiver's address changes."""
+        while self._find_address(id) == address:
+            batch = [await queue.get()]
+            while len(batch) < MAX_BATCH_MESSAGES and not queue.empty():
+                batch.append(queue.get_nowait())
+            yield messages.Batch(
+                self.replica.id, self.own_address, id, 0, batch
+            )
+
+    def _find_address(self, id: str) -> str:
+        # A candidate or leader may belong to a configuration that this replica
+        # does not have yet.
+        return self.replica.address(id) or self.reported_addresses.get(id, "")
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 
 from pollenseam import commands
@@ -13,6 +12,7 @@
 from pollenseam import leases
 from pollenseam import lending
 from pollenseam import messages
+from pollenseam import outbox
 from pollenseam import peers
 from pollenseam import quorumlog
 from pollenseam import replica
@@ -20,9 +20,6 @@
 from pollenseam import state
 
 SNAPSHOT_INTERVAL_ENTRIES = 8192
-MAX_BATCH_MESSAGES = 64
-MAX_QUEUED_MESSAGES = 1024
-RECONNECT_DELAY_SECONDS = 0.05
 MAX_PENDING_PROPOSALS = 10_000
 
 Clock = Callable[[], float]
@@ -67,8 +64,7 @@
         own_address: This replica's address for other VMs.
         lending: Leases that this replica grants while it leads.
         failure_reason: Why the replica stopped, or "" while it runs.
-        reported_addresses: Addresses that other replicas gave as their own,
-            by id.
+        outbox: Sends messages to the other replicas.
         on_applied: Called after entries or a snapshot changed the state.
     """
 
@@ -99,17 +95,15 @@
         )
         self._proposals: list[Proposal] = []
         self._pending: dict[int, Proposal] = {}
-        self._queues: dict[str, asyncio.Queue[messages.AnyMessage]] = {}
-        self._sender_tasks: dict[str, asyncio.Task[None]] = {}
+        self.outbox = outbox.Outbox(core, own_address, peer_client)
         self._snapshot_sender = snapshots.Sender(
-            core, storage, self._enqueue, self.wake, log, now
+            core, storage, self.outbox.enqueue, self.wake, log, now
         )
         self._incoming_snapshot = snapshots.Incoming("", 0)
         self._wake_event = asyncio.Event()
         self._confirmed_event = asyncio.Event()
         self._last_role = ("", 0, "")
         self._snapshot_index = core.log.base_index
-        self.reported_addresses: dict[str, str] = {}
 
     # Queries.
 
@@ -187,7 +181,7 @@
         """Queues messages of another replica for the loop."""
         if batch.receiver != self.replica.id or self.failure_reason:
             return
-        self.reported_addresses[batch.sender] = batch.address
+        self.outbox.reported_addresses[batch.sender] = batch.address
         self._inbox.extend(batch.messages)
         self._wake_event.set()
 
@@ -284,8 +278,7 @@
         except (OSError, errors.DamagedError) as error:
             self._fail(str(error))
         finally:
-            for task in self._sender_tasks.values():
-                task.cancel()
+            self.outbox.cancel()
             self._snapshot_sender.cancel()
             self.journal.close()
 
@@ -383,7 +376,7 @@
         self._proposals.clear()
 
     async def _process_ready(self, ready: quorumlog.Ready) -> None:
-        self._enqueue(ready.messages_before_sync)
+        self.outbox.enqueue(ready.messages_before_sync)
         if ready.hard_state is not None or ready.entries:
             await asyncio.to_thread(
                 self.journal.append, ready.hard_state, ready.entries
@@ -392,7 +385,7 @@
                 last = ready.entries[-1]
                 self.replica.mark_synced(last.index, last.term)
                 self._wake_event.set()
-        self._enqueue(ready.messages)
+        self.outbox.enqueue(ready.messages)
         for id in ready.snapshot_receivers:
             self._snapshot_sender.start(id)
         if ready.committed_entries:
@@ -455,59 +448,6 @@
         self._snapshot_index = index
         self.log.emit("snapshot", index=index, bytes=len(data))
 
-    # Messages.
-
-    def _enqueue(self, outbound: list[quorumlog.Outbound]) -> None:
-        for outgoing in outbound:
-            queue = self._get_queue(outgoing.receiver)
-            if queue.full():
-                # The oldest message is the most likely to be out of date.
-                queue.get_nowait()
-            queue.put_nowait(outgoing.message)
-
-    def _get_queue(self, id: str) -> "asyncio.Queue[messages.AnyMessage]":
-        queue = self._queues.get(id)
-        if queue is None:
-            queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
-            self._queues[id] = queue
-            task = asyncio.create_task(self._send_to(id, queue))
-            self._sender_tasks[id] = task
-        return queue
-
-    async def _send_to(
-        self, id: str, queue: "asyncio.Queue[messages.AnyMessage]"
-    ) -> None:
-        while True:
-            address = self._find_address(id)
-            if not address:
-                await queue.get()
-                continue
-            with contextlib.suppress(errors.UnreachableError):
-                await self.peers.stream(
-                    address, peers.DELIVER, self._batches(id, address, queue)
-                )
-            await asyncio.sleep(RECONNECT_DELAY_SECONDS)
-
-    async def _batches(
-        self,
-        id: str,
-        address: str,
-        queue: "asyncio.Queue[messages.AnyMessage]",
-    ) -> AsyncIterator[messages.Batch]:
-        """Yields queued messages until the receiver's address changes."""
-        while self._find_address(id) == address:
-            batch = [await queue.get()]
-            while len(batch) < MAX_BATCH_MESSAGES and not queue.empty():
-                batch.append(queue.get_nowait())
-            yield messages.Batch(
-                self.replica.id, self.own_address, id, 0, batch
-            )
-
-    def _find_address(self, id: str) -> str:
-        # A candidate or leader may belong to a configuration that this replica
-        # does not have yet.
-        return self.replica.address(id) or self.reported_addresses.get(id, "")
-
     # Receiving snapshots.
 
     def _add_chunk(self, chunk: messages.InstallSnapshot) -> None:
@@ -529,7 +469,7 @@
             offset,
             chunk.sent_at,
         )
-        self._enqueue([quorumlog.Outbound(chunk.leader, response)])
+        self.outbox.enqueue([quorumlog.Outbound(chunk.leader, response)])
 
     def _install_snapshot(
         self, chunk: messages.InstallSnapshot, data: bytes
