Outbox: a stream that ends during a write ends no sender

What callers saw: nothing traced to it yet. It stops changes for good while all processes run: a leader sends a follower nothing more, and once that happened towards a majority, or to all at the leader, no change is committed, no vote arrives, and nothing is logged. Cause: grpcio raises asyncio.InvalidStateError where a call ended before a write to it. The sender of messages to one replica knew only UnreachableError; its task ended, its queue stayed, and nobody started another. Class: a task whose end by an unforeseen error nobody notices. Ruled out: the queue (it drops the oldest), the address (unchanged). Change: the sender logs sending-failed with the reason and opens another stream.

--- a/src/pollenseam/outbox.py
+++ b/src/pollenseam/outbox.py
@@ -1,10 +1,10 @@
 """Sends a replica's messages to the other replicas, by one stream to each."""
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator
 
 from pollenseam import errors
+from pollenseam import events
 from pollenseam import messages
 from pollenseam import peers
 from pollenseam import quorumlog
@@ -22,6 +22,7 @@
         replica: Consensus core of the replica that sends.
         own_address: Its address for other VMs.
         peers: Client for calls to other VMs.
+        log: Event log.
         reported_addresses: Addresses that other replicas gave as their own,
             by id.
     """
@@ -31,10 +32,12 @@
         core: replica.Replica,
         own_address: str,
         peer_client: peers.Client,
+        log: events.EventLog,
     ) -> None:
         self.replica = core
         self.own_address = own_address
         self.peers = peer_client
+        self.log = log
         self.reported_addresses: dict[str, str] = {}
         self._queues: dict[str, asyncio.Queue[messages.AnyMessage]] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -70,10 +73,17 @@
             if not address:
                 await queue.get()
                 continue
-            with contextlib.suppress(errors.UnreachableError):
+            try:
                 await self.peers.stream(
                     address, peers.DELIVER, self._batches(id, address, queue)
                 )
+            except errors.UnreachableError:
+                pass
+            except Exception as error:
+                # Without this task the other replica would get nothing more.
+                self.log.emit_often(
+                    "sending-failed", replica=id, reason=repr(error)
+                )
             await asyncio.sleep(RECONNECT_DELAY_SECONDS)
 
     async def _batches(
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -95,7 +95,7 @@
         )
         self._proposals: list[Proposal] = []
         self._pending: dict[int, Proposal] = {}
-        self.outbox = outbox.Outbox(core, own_address, peer_client)
+        self.outbox = outbox.Outbox(core, own_address, peer_client, log)
         self._snapshot_sender = snapshots.Sender(
             core, storage, self.outbox.enqueue, self.wake, log, now
         )
