Daemon: a replica whose disk was full goes on once the disk has room

Disks of replicas were full for seconds, one after another; after the second of three every change stayed unanswered until an operator restarted daemons, while all processes ran. A daemon whose disk was full as the quorum was founded ended. Cause: after a failed write the daemon's replica stopped for good, by design (design/control.md, operators.md: 'make room and restart it'); only the control VMs opened their folder again. Class: a state that only a restart ends, entered on an error that passes. Evidence: three daemons, the files of each in turn limited to their size (RLIMIT_FSIZE: a short write, then EFBIG): the first change after the second disk was not answered within 60 s. Ruled out: elections and the log, which go on as soon as a majority runs. Change: the daemon opens the folder again as control VMs do (datafolder.reopen).

--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -14,6 +14,7 @@
 
 from pollenseam import admission
 from pollenseam import bootstrap
+from pollenseam import datafolder
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import flags
@@ -23,7 +24,6 @@
 from pollenseam import gossiper
 from pollenseam import httpserver
 from pollenseam import idempotency
-from pollenseam import journal
 from pollenseam import keys
 from pollenseam import leases
 from pollenseam import messages
@@ -101,7 +101,7 @@
             frontend.MAX_HEADERS,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._bootstrap: bootstrap.Bootstrap | None = None
+        self._root_digest = ""
 
     # Start.
 
@@ -120,7 +120,7 @@
         await self.server.start(self.flags.peer_address)
         await self._listen()
         if self.vm.replica_runner is not None:
-            self._spawn(self._run_replica(self.vm.replica_runner))
+            self._spawn(self._keep_replica_running())
         self._spawn(self.gossiper.run())
         self._spawn(self.follower.run())
         self._spawn(self.renewer.run())
@@ -166,35 +166,70 @@
 
     def _open_replica(self, root_digest: str) -> None:
         assert self.flags.data_folder is not None
-        replica_journal = journal.open_journal(
-            self.flags.data_folder, self.flags.vm
+        self._root_digest = root_digest
+        self._attach_runner(
+            self._create_runner(
+                datafolder.read(self.flags.data_folder, self.flags.vm)
+            )
         )
-        recovered = replica_journal.recover()
+
+    def _create_runner(
+        self, opened: datafolder.Opened
+    ) -> replicarunner.ReplicaRunner:
+        replica_journal, recovered = opened
         runner = replicarunner.open_runner(
             replica_journal,
             recovered,
             self.peers,
             self.log,
             self.vm.now,
-            root_digest,
+            self._root_digest,
             self.flags.peer_address,
             self.vm.incarnation,
         )
         runner.on_applied = self.vm.attach_replica_tree
+        return runner
+
+    def _attach_runner(self, runner: replicarunner.ReplicaRunner) -> None:
+        # The tree of a replica that failed is not updated any more.
+        self.vm.detach_replica_tree()
         self.vm.replica_runner = runner
         self.vm.directory.own_record.replica_id = runner.replica.id
-        self._bootstrap = bootstrap.Bootstrap(
+        self.vm.attach_replica_tree()
+
+    async def _keep_replica_running(self) -> None:
+        """Runs the replica; opens its data folder again after a disk error."""
+        assert self.flags.data_folder is not None
+        while (runner := self.vm.replica_runner) is not None:
+            try:
+                await self._run_replica(runner)
+            except OSError as error:
+                runner.fail(str(error))
+                runner.journal.close()
+            self._attach_runner(
+                await datafolder.reopen(
+                    self.flags.data_folder,
+                    self.flags.vm,
+                    self._create_runner,
+                    self.log,
+                )
+            )
+
+    async def _run_replica(self, runner: replicarunner.ReplicaRunner) -> None:
+        """Runs a replica until its disk fails, after the bootstrap.
+
+        Raises:
+            OSError: The initial configuration could not be stored.
+        """
+        founding = bootstrap.Bootstrap(
             self.flags.vm,
-            replica_journal,
+            runner.journal,
             self.flags.initial_replicas,
             self.peers,
             self.log,
         )
-        self.vm.attach_replica_tree()
-
-    async def _run_replica(self, runner: replicarunner.ReplicaRunner) -> None:
-        if self._bootstrap is not None and self._bootstrap.is_pending:
-            members = await self._bootstrap.run()
+        if founding.is_pending:
+            members = await founding.run()
             if members is not None:
                 runner.replica.bootstrap(members)
         await runner.run()
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -276,13 +276,14 @@
                 self._process_inbox()
                 await self._process_ready(self.replica.take_ready())
         except (OSError, errors.DamagedError) as error:
-            self._fail(str(error))
+            self.fail(str(error))
         finally:
             self.outbox.cancel()
             self._snapshot_sender.cancel()
             self.journal.close()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
+        """Records that the disk failed, and fails all proposals."""
         self.failure_reason = reason
         self.log.emit("replica-failed", reason=reason)
         self._fail_proposals("the replica's disk failed")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -240,6 +240,39 @@
     fleet.wait_until(lambda: running.health(victim)["settings_index"] >= index)
 
 
+def test_changes_go_on_after_the_disks_of_all_replicas_were_full_in_turn(
+    running,
+):
+    """Guards against a replica that stays stopped once its disk has room.
+
+    After the second disk there was no majority, until daemons were restarted.
+    """
+    replicas = [n for n, v in running.vms.items() if v.is_replica]
+
+    def followers():
+        records = running.run_tool_json("replica", "list")
+        return {
+            r["id"].rpartition(".")[0]: r["match"]
+            for r in records
+            if r["role"] == "voter"
+        }
+
+    for name in replicas:
+        child = running.daemons[name].child
+        files = running.data_folder(name).iterdir()
+        size = max(path.stat().st_size for path in files)
+        unlimited = resource.prlimit(
+            child.pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY)
+        )
+        fleet.wait_until(lambda: apply_rate(running, 100).returncode == 0)
+        fleet.wait_until(lambda n=name: running.leader() not in ("", n))
+        assert followers()[name] < max(followers().values())
+        resource.prlimit(child.pid, resource.RLIMIT_FSIZE, unlimited)
+    fleet.wait_until(lambda: apply_rate(running, 200).returncode == 0)
+    fleet.wait_until(lambda: len(set(followers().values())) == 1)
+    assert workspace_rate(running) == 200
+
+
 def test_a_daemon_exits_at_start_if_its_data_folder_is_unusable(tmp_path):
     vms = fleet.make_vm_specs({"r1": ["d1"]}, vms_per_domain=1, replicas=1)
     with fleet.Fleet(tmp_path, vms) as started:
