Data folder: a log counts once it was written again and synced, also at a start

What callers saw: nothing traced to it. A change can be acknowledged that is on too few disks, and is lost with the next disk. Cause: a process that ends between the write of a record and its sync leaves the record in the kernel's cache. The next process read it, called it synced and told the leader so with its first answer. Only after a failed write in the same process was the log written again. Class: what was read back counts as what was stored. Evidence: the test, on simulated disks that keep after a power loss what was synced: leader and one follower have the change, the follower's copy unsynced; it is restarted, answers, the change is acknowledged; power is lost, and the leader's disk. Before: all three voters agree on version 0, 'not within 5.0 s'. Ruled out: votes (the term is written before, and the log has its noop synced). Change: datafolder.Supervisor, for control VMs and daemons, writes the log again and syncs it before the replica takes part, at the first opening as well. Until then, and while the disk refuses it, the VM serves without its replica.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -20,6 +20,7 @@
 from pollenseam import freshness
 from pollenseam import items
 from pollenseam import joining
+from pollenseam import journal
 from pollenseam import leases
 from pollenseam import lending
 from pollenseam import liveness
@@ -123,7 +124,7 @@
         log: Event log.
         peers: Client for calls to other VMs.
         now: Returns the time since boot in seconds.
-        replica_runner: Runner of the replica; replaced after a disk error.
+        supervisor: Keeps the replica running.
         proposer: Submits commands to the leader.
         liveness: Directory of VMs and deadlines of VMs and upstreams.
         freshness: Age of the replica's state.
@@ -153,7 +154,9 @@
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
         self.server = peers.Server(log.clock, peer_client.traffic, log=log)
-        self.replica_runner = self._open()
+        self.supervisor = datafolder.Supervisor(
+            settings.data_folder, settings.name, self._create_runner, log
+        )
         self.proposer = proposer.Proposer(
             lambda: self.replica_runner, peer_client, self.now
         )
@@ -165,6 +168,11 @@
         self._cached_limits: dict[str, leases.Limit] = {}
         self._was_leader_reachable = False
 
+    @property
+    def replica_runner(self) -> replicarunner.ReplicaRunner:
+        """The runner of the replica; another one after a disk error."""
+        return self.supervisor.runner
+
     @property
     def own_record(self) -> controlmessages.ControlVm:
         """The record of this VM, as sent to other VMs."""
@@ -203,7 +211,7 @@
         server.handle(controlmessages.RENEW, self._answer_renew)
         server.handle(controlmessages.JOIN, self._answer_join)
         await server.start(self.settings.address)
-        self._tasks.spawn(self._run_replica())
+        self._tasks.spawn(self.supervisor.run(self._run_replica))
         self._tasks.spawn(self._run_leader_duties())
         self._tasks.spawn(self._follow_leader())
 
@@ -217,16 +225,9 @@
         self._tasks.cancel()
         await self.peers.close()
 
-    def _open(self) -> replicarunner.ReplicaRunner:
-        settings = self.settings
-        return self._open_runner(
-            datafolder.read(settings.data_folder, settings.name)
-        )
-
-    def _open_runner(
-        self, opened: datafolder.Opened
+    def _create_runner(
+        self, local_journal: journal.Journal, recovered: journal.Recovered
     ) -> replicarunner.ReplicaRunner:
-        local_journal, recovered = opened
         runner = replicarunner.open_runner(
             local_journal,
             recovered,
@@ -248,28 +249,21 @@
         )
         return runner
 
-    async def _run_replica(self) -> None:
-        """Runs the replica; reopens its data folder after a disk error."""
-        while True:
-            joiner = joining.Joiner(
-                self.own_record,
-                self.replica_runner.journal,
-                self.settings.seeds,
-                self.settings.may_bootstrap,
-                self.peers,
-                self.log,
-            )
-            join_task = asyncio.create_task(joiner.run(self.replica_runner))
-            try:
-                await self.replica_runner.run()
-            finally:
-                join_task.cancel()
-            self.replica_runner = await datafolder.reopen(
-                self.settings.data_folder,
-                self.settings.name,
-                self._open_runner,
-                self.log,
-            )
+    async def _run_replica(self, runner: replicarunner.ReplicaRunner) -> None:
+        """Runs the replica, and its joiner, until its disk fails."""
+        joiner = joining.Joiner(
+            self.own_record,
+            runner.journal,
+            self.settings.seeds,
+            self.settings.may_bootstrap,
+            self.peers,
+            self.log,
+        )
+        join_task = asyncio.create_task(joiner.run(runner))
+        try:
+            await runner.run()
+        finally:
+            join_task.cancel()
 
     def _on_applied(self) -> None:
         if self.applied_registry.index != self._index:
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -24,6 +24,7 @@
 from pollenseam import gossiper
 from pollenseam import httpserver
 from pollenseam import idempotency
+from pollenseam import journal
 from pollenseam import keys
 from pollenseam import leases
 from pollenseam import messages
@@ -102,6 +103,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._root_digest = ""
+        self._supervisor: datafolder.Supervisor | None = None
 
     # Start.
 
@@ -119,8 +121,8 @@
         self._register_handlers()
         await self.server.start(self.flags.peer_address)
         await self._listen()
-        if self.vm.replica_runner is not None:
-            self._spawn(self._keep_replica_running())
+        if self._supervisor is not None:
+            self._spawn(self._supervisor.run(self._run_replica))
         self._spawn(self.gossiper.run())
         self._spawn(self.follower.run())
         self._spawn(self.renewer.run())
@@ -167,18 +169,18 @@
     def _open_replica(self, root_digest: str) -> None:
         assert self.flags.data_folder is not None
         self._root_digest = root_digest
-        self._attach_runner(
-            self._create_runner(
-                datafolder.read(self.flags.data_folder, self.flags.vm)
-            )
+        self._supervisor = datafolder.Supervisor(
+            self.flags.data_folder,
+            self.flags.vm,
+            self._create_runner,
+            self.log,
         )
 
     def _create_runner(
-        self, opened: datafolder.Opened
+        self, storage: journal.Journal, recovered: journal.Recovered
     ) -> replicarunner.ReplicaRunner:
-        replica_journal, recovered = opened
         runner = replicarunner.open_runner(
-            replica_journal,
+            storage,
             recovered,
             self.peers,
             self.log,
@@ -188,32 +190,12 @@
             self.vm.incarnation,
         )
         runner.on_applied = self.vm.attach_replica_tree
-        return runner
-
-    def _attach_runner(self, runner: replicarunner.ReplicaRunner) -> None:
         # The tree of a replica that failed is not updated any more.
         self.vm.detach_replica_tree()
         self.vm.replica_runner = runner
         self.vm.directory.own_record.replica_id = runner.replica.id
         self.vm.attach_replica_tree()
-
-    async def _keep_replica_running(self) -> None:
-        """Runs the replica; opens its data folder again after a disk error."""
-        assert self.flags.data_folder is not None
-        while (runner := self.vm.replica_runner) is not None:
-            try:
-                await self._run_replica(runner)
-            except OSError as error:
-                runner.fail(str(error))
-                runner.journal.close()
-            self._attach_runner(
-                await datafolder.reopen(
-                    self.flags.data_folder,
-                    self.flags.vm,
-                    self._create_runner,
-                    self.log,
-                )
-            )
+        return runner
 
     async def _run_replica(self, runner: replicarunner.ReplicaRunner) -> None:
         """Runs a replica until its disk fails, after the bootstrap.
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -67,3 +67,39 @@
         assert len(disk.open_files) == 1
 
     play(fill_disk_for_long, ["d1", "d2", "d3"])
+
+
+def test_a_record_that_its_process_did_not_sync_is_synced_before_it_counts(
+    play,
+):
+    """Guards against a change acknowledged for a copy that is on no disk.
+
+    A process ended between the write of a record and its sync. The next one
+    read the record from the kernel's cache.
+    """
+
+    async def lose_a_copy_that_was_not_synced(fleet):
+        [leader] = fleet.leaders()
+        writer, other = [m for m in fleet.vms if m is not leader]
+        await other.kill()
+        writer.disk.failing = frozenset({"sync"})
+        change = asyncio.create_task(fleet.change(leader))
+        await fleet.wait_until(
+            lambda: "event=replica-failed" in writer.lines[-1], 1.0
+        )
+        await writer.kill()
+        writer.disk.heal()
+        writer.start()
+        await change
+        while not fleet.acknowledged:
+            await fleet.change(leader)
+        for machine in fleet.vms:
+            await machine.kill()
+            machine.disk.lose_power()
+        leader.disk.wipe()
+        for machine in fleet.vms:
+            machine.start()
+        await fleet.wait_until(fleet.is_whole, 20.0)
+        await fleet.wait_until(fleet.has_what_was_acknowledged, 5.0)
+
+    play(lose_a_copy_that_was_not_synced, ["d1", "d2", "d3"])
