--- a/src/pollenseam/snapshots.py
+++ b/src/pollenseam/snapshots.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 
+from pollenseam import errors
 from pollenseam import events
 from pollenseam import journal
 from pollenseam import messages
@@ -16,6 +17,8 @@
 
 CHUNK_BYTES = 256 * 1024
 CHUNK_TIMEOUT_SECONDS = 3.0
+# Delay before the snapshot is read again after an error.
+READ_RETRY_SECONDS = 0.5
 
 Responses = asyncio.Queue[messages.InstallResponse]
 
@@ -69,7 +72,13 @@
             task.cancel()
 
     async def _send(self, receiver: str) -> None:
-        header, data = await asyncio.to_thread(self.journal.read_snapshot)
+        try:
+            header, data = await asyncio.to_thread(self.journal.read_snapshot)
+        except (OSError, errors.DamagedError) as error:
+            self.log.emit("snapshot-unreadable", reason=str(error))
+            await asyncio.sleep(READ_RETRY_SECONDS)
+            self.replica.mark_snapshot_failed(receiver)
+            return
         responses: Responses = asyncio.Queue()
         self._responses[receiver] = responses
         try:
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -5,6 +5,8 @@
 import pytest
 import simulation
 
+from pollenseam import replicarunner
+
 FULL = frozenset({"write"})
 # Time after a disk has room again by which its VM votes.
 RETURN_SECONDS = 4.0
@@ -103,3 +105,25 @@
         await fleet.wait_until(fleet.has_what_was_acknowledged, 5.0)
 
     play(lose_a_copy_that_was_not_synced, ["d1", "d2", "d3"])
+
+
+def test_a_snapshot_that_could_not_be_read_is_sent_later(play, monkeypatch):
+    """Guards against a learner that waits for its snapshot for good."""
+    monkeypatch.setattr(replicarunner, "SNAPSHOT_INTERVAL_ENTRIES", 10)
+
+    async def fail_reads_while_a_wiped_vm_joins(fleet):
+        [leader] = fleet.leaders()
+        wiped = next(m for m in fleet.vms if m is not leader)
+        storage = leader.control.replica_runner.journal
+        async with fleet.changing():
+            await fleet.wait_until(lambda: fleet.lines("snapshot"), 10.0)
+            await wiped.kill()
+            wiped.disk.wipe()
+            leader.disk.failing = frozenset({"read"})
+            wiped.start()
+            await fleet.wait_until(lambda: leader.disk.refusals > 0, 5.0)
+            leader.disk.heal()
+            await fleet.wait_until(fleet.is_whole, 8.0)
+        assert leader.control.replica_runner.journal is storage
+
+    play(fail_reads_while_a_wiped_vm_joins, ["d1", "d2", "d3"])
