Replica: a seed that stores the quorum late has its configuration

What callers saw: nothing traced to it. A seed whose disk was full as the quorum was founded was a voter that never stood for election and called itself no member: one failure more, and nobody leads while a majority runs. Cause: the others found the quorum and send entries before it has stored their names; bootstrap() then took the log, which was not empty, for one that has a configuration.

--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -181,10 +181,13 @@
     # Events.
 
     def bootstrap(self, members: messages.Members) -> None:
-        """Sets the initial configuration, if the log is still empty."""
-        if self.log.last_index == 0:
+        """Sets the initial configuration, unless one is known.
+
+        The log may have entries already, if other replicas knew it earlier.
+        """
+        if self.log.base_index == 0 and not self.base_members.voters:
             self.base_members = members
-            self.members = members
+            self._reload_members()
 
     def tick(self, now: float) -> None:
         """Performs what is due at `now`.
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -127,3 +127,31 @@
         assert leader.control.replica_runner.journal is storage
 
     play(fail_reads_while_a_wiped_vm_joins, ["d1", "d2", "d3"])
+
+
+def test_a_seed_that_cannot_store_the_quorum_yet_becomes_a_whole_voter(
+    tmp_path, monkeypatch
+):
+    """Guards against a voter that never stands for election.
+
+    The others found the quorum and send it entries before it has stored their
+    names; it then took the log for one with a configuration.
+    """
+    fleet = simulation.Fleet(tmp_path, 1, ["d1", "d2", "d3"])
+    fleet.patch_modules(monkeypatch)
+
+    async def fill_disk_while_the_quorum_is_founded():
+        late, *others = fleet.vms
+        late.start()
+        await fleet.wait_until(lambda: late.control, 5.0)
+        late.disk.failing = frozenset({"rename"})
+        for machine in others:
+            machine.start()
+        await fleet.wait_until(fleet.leaders, 5.0)
+        await fleet.wait_until(lambda: "leader=" in late.lines[-1], 1.0)
+        late.disk.heal()
+        await fleet.wait_until(fleet.is_whole, 5.0)
+        assert len(fleet.lines("quorum-founded")) == 3
+        await fleet.stop()
+
+    simulation.run(fill_disk_while_the_quorum_is_founded(), 1)
