--- a/src/pollenseam/datafolder.py
+++ b/src/pollenseam/datafolder.py
@@ -105,7 +105,7 @@
         OSError: The disk refuses it.
     """
     try:
-        await asyncio.to_thread(storage.rewrite_segments)
+        await asyncio.to_thread(storage.make_durable)
     except BaseException:
         storage.close()
         raise
--- a/src/pollenseam/journal.py
+++ b/src/pollenseam/journal.py
@@ -207,12 +207,16 @@
             files.remove(self._segment_path(number))
         files.sync(self.folder)
 
-    def rewrite_segments(self) -> None:
-        """Writes the contents of all segments again, and syncs them.
+    def make_durable(self) -> None:
+        """Writes all segments again and syncs them; removes leftovers.
 
-        To be called after a failed write or sync: data that was read back may
-        be only in the kernel's page cache and not on the disk.
+        To be called before what `recover` returned is used: data that was
+        read may be only in the kernel's page cache and not on the disk.
+        Leftovers are files that were not written in full; they take room that
+        the log needs.
         """
+        for path in self.folder.glob(f"*{files.NEW_SUFFIX}"):
+            files.remove(path)
         for number in self._segment_numbers():
             files.rewrite(self._segment_path(number))
         files.sync(self.folder)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -155,3 +155,26 @@
         await fleet.stop()
 
     simulation.run(fill_disk_while_the_quorum_is_founded(), 1)
+
+
+def test_a_snapshot_that_did_not_fit_leaves_no_file(play, monkeypatch):
+    """Guards against files of failed writes that fill a small disk."""
+    monkeypatch.setattr(replicarunner, "SNAPSHOT_INTERVAL_ENTRIES", 10)
+
+    async def fill_disk_while_it_takes_a_snapshot(fleet):
+        disk = fleet.vms[0].disk
+        async with fleet.changing():
+            while not (disk.folder / "snapshot.new").exists():
+                disk.free_bytes = fleet.random.randrange(6000)
+                await asyncio.sleep(2.0)
+                disk.free_bytes = 0
+            monkeypatch.setattr(replicarunner, "SNAPSHOT_INTERVAL_ENTRIES", 999)
+            disk.heal()
+            await fleet.wait_until(fleet.is_whole, 8.0)
+        names = simulation.data_files(fleet.vms[0])
+        assert [n for n in names if not n.endswith(".log")] == [
+            "identity",
+            "snapshot",
+        ]
+
+    play(fill_disk_while_it_takes_a_snapshot, ["d1", "d2", "d3"])
