--- a/tests/machines.py
+++ b/tests/machines.py
@@ -50,6 +50,7 @@
         self.folder.mkdir()
         self.process = None
         self.is_first_start = True
+        self.log_start = 0
         self.program = ROOT / "platform" / "program.py"
         self.environment = {}
 
@@ -82,6 +83,7 @@
     async def start(self):
         self.write_settings()
         log = (self.folder / "log").open("ab")
+        self.log_start = log.tell()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(self.program),
@@ -109,6 +111,16 @@
     def read_log(self):
         return (self.folder / "log").read_text()
 
+    def replica_id(self):
+        """Returns the id of the replica since the last start; "" if none."""
+        log = (self.folder / "log").read_bytes()[self.log_start :].decode()
+        opened = [
+            line.split("replica=")[1].split()[0]
+            for line in log.splitlines()
+            if "event=replica-opened" in line
+        ]
+        return opened[-1] if opened else ""
+
 
 class StubServer:
     """A stub upstream of one service.
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -279,6 +279,23 @@
     return len(server.received_requests) >= count
 
 
+async def test_a_replica_of_an_earlier_process_does_not_count_as_opened(
+    tmp_path,
+):
+    """Guards against tests that go on before a wiped VM is back."""
+    cluster = machines.Cluster(tmp_path)
+    await cluster.session.close()
+    machine = machines.Machine(cluster, "m", "control", 1, "z1")
+    log = machine.folder / "log"
+    log.write_text("event=replica-opened replica=m.1 term=1\n")
+    assert machine.replica_id() == "m.1"
+    machine.log_start = log.stat().st_size
+    assert machine.replica_id() == ""
+    with log.open("a") as file:
+        file.write("event=replica-opened replica=m.2 term=0\n")
+    assert machine.replica_id() == "m.2"
+
+
 async def test_a_wiped_control_vm_comes_back_and_then_another(tmp_path):
     async with machines.running_cluster(
         tmp_path, control_count=4, entry_count=0
@@ -307,17 +324,11 @@
 async def all_are_voters(cluster, count):
     """Returns whether the quorum's voters are exactly the running replicas.
 
-    The newest configuration and the replica that each control VM opened last
-    are read from the logs. `count` is the expected number of voters.
+    The newest configuration, and the replica that each control VM opened since
+    its last start, are read from the logs. `count` is the expected number of
+    voters.
     """
-    members = set()
-    for control_vm in cluster.control_vms:
-        replica_ids = [
-            line.split("replica=")[1].split()[0]
-            for line in control_vm.read_log().splitlines()
-            if "event=replica-opened" in line
-        ]
-        members.add(replica_ids[-1])
+    members = {vm.replica_id() for vm in cluster.control_vms}
     configurations = [
         line
         for control_vm in cluster.control_vms
