Proposer: a control VM whose disk is full passes changes on to the leader

What callers saw: while its disk was full, a control VM refused every change and evacuation with 503 after 0.9 s; a leader whose disk got full did so for all of the time. Cause: its replica hears nothing any more, so the leader that it knows is the last one, and for a leader that is itself. Change: such a VM asks another voter, drawn by lot, and follows the address of the leader that it answers with.

--- a/src/pollenseam/proposer.py
+++ b/src/pollenseam/proposer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -25,6 +26,8 @@
             replaced when the data folder is opened again.
         peers: Client for calls to other VMs.
         now: Returns the time in seconds.
+        reported_leader: Address of the leader as another replica gave it, or
+            "". Used while this VM's replica has failed.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         self.get_runner = get_runner
         self.peers = peer_client
         self.now = now
+        self.reported_leader = ""
 
     async def submit(
         self, command: commands.Command, deadline: float
@@ -66,17 +70,36 @@
                 async with asyncio.timeout(seconds_left):
                     return await runner.submit(command)
             return None
-        if not runner.leader_address:
+        address = self._leader_address(runner)
+        if not address:
             return None
         request = messages.Submit(data, 0, 0)
+        self.reported_leader = ""
         with contextlib.suppress(errors.UnreachableError):
             response: messages.SubmitResponse = await self.peers.call(
-                runner.leader_address, peers.SUBMIT, request, seconds_left
+                address, peers.SUBMIT, request, seconds_left
             )
             if not response.kind:
+                self.reported_leader = address
                 return _decode_outcome(response.outcome)
+            # A replica that does not lead returns the leader's address.
+            self.reported_leader = response.detail
         return None
 
+    def _leader_address(self, runner: replicarunner.ReplicaRunner) -> str:
+        """Returns the likely address of the leader, or "" if unknown.
+
+        A replica whose disk failed hears no more of leaders. Its VM asks
+        another voter, drawn by lot.
+        """
+        if not runner.failure_reason:
+            return runner.leader_address
+        if self.reported_leader not in ("", runner.own_address):
+            return self.reported_leader
+        voters = runner.replica.members.voters.items()
+        others = [a for id, a in voters if id != runner.replica.id]
+        return random.choice(others) if others else ""
+
     async def read_barrier(self, deadline: float) -> None:
         """Waits until all changes acknowledged so far are applied here.
 
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -176,3 +176,21 @@
         assert [n for n in names if not n.endswith(".log")] == ["identity"]
 
     play(fill_disk_while_it_takes_a_snapshot, ["d1", "d2", "d3"])
+
+
+def test_a_vm_whose_disk_is_full_passes_changes_on_to_the_leader(play):
+    """Guards against changes refused by a VM that could pass them on."""
+
+    async def fill_disks(fleet):
+        for machine in fleet.vms:
+            machine.disk.failing = FULL
+            await fleet.change(machine)
+            await fleet.wait_until(
+                lambda vm=machine: fleet.leaders() not in ([], [vm]), 4.0
+            )
+            for _ in range(10):
+                assert await fleet.change(machine), fleet.describe()
+            machine.disk.heal()
+            await fleet.wait_until(fleet.is_whole, 8.0)
+
+    play(fill_disks, ["d1", "d2", "d3"])
