--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -20,6 +20,9 @@
 from pollenseam import state
 
 SNAPSHOT_INTERVAL_ENTRIES = 8192
+# Bytes of commands after which a snapshot is taken as well: the log is held in
+# memory and on disks of 256 MB, and a change may have megabytes.
+SNAPSHOT_INTERVAL_BYTES = 16 * 1024 * 1024
 MAX_PENDING_PROPOSALS = 10_000
 
 Clock = Callable[[], float]
@@ -104,6 +107,7 @@
         self._confirmed_event = asyncio.Event()
         self._last_role = ("", 0, "")
         self._snapshot_index = core.log.base_index
+        self._bytes_since_snapshot = 0
 
     # Queries.
 
@@ -397,6 +401,7 @@
 
     def _apply(self, entries: list[messages.Entry]) -> None:
         for entry in entries:
+            self._bytes_since_snapshot += len(entry.command)
             outcome = self._apply_entry(entry)
             proposal = self._pending.pop(entry.index, None)
             if proposal is None or proposal.future.done():
@@ -428,10 +433,12 @@
             self._wake_event.set()
 
     async def _compact(self) -> None:
-        index = self.state.index
-        if index - self._snapshot_index < SNAPSHOT_INTERVAL_ENTRIES:
-            return
-        await self.snapshot()
+        entry_count = self.state.index - self._snapshot_index
+        if (
+            entry_count >= SNAPSHOT_INTERVAL_ENTRIES
+            or self._bytes_since_snapshot >= SNAPSHOT_INTERVAL_BYTES
+        ):
+            await self.snapshot()
 
     async def snapshot(self) -> None:
         """Syncs a snapshot of the applied state and compacts the log."""
@@ -447,6 +454,7 @@
         await asyncio.to_thread(self.journal.save_snapshot, header, data, later)
         core.compact(index)
         self._snapshot_index = index
+        self._bytes_since_snapshot = 0
         self.log.emit("snapshot", index=index, bytes=len(data))
 
     # Receiving snapshots.
@@ -490,6 +498,7 @@
         self.journal.save_snapshot(header, data, later)
         core.restore(chunk.index, chunk.last_term, chunk.members)
         self._snapshot_index = chunk.index
+        self._bytes_since_snapshot = 0
         self.state.restore_from(new_state)
         self.on_applied()
         self.log.emit("snapshot-installed", index=chunk.index)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -5,6 +5,7 @@
 import pytest
 import simulation
 
+from pollenseam import journal
 from pollenseam import replicarunner
 
 FULL = frozenset({"write"})
@@ -194,3 +195,21 @@
             await fleet.wait_until(fleet.is_whole, 8.0)
 
     play(fill_disks, ["d1", "d2", "d3"])
+
+
+def test_large_changes_do_not_fill_the_disks_with_the_log(play, monkeypatch):
+    """Guards against disks and memory that the log itself fills.
+
+    Snapshots came after a number of entries, however large these were.
+    """
+    monkeypatch.setattr(replicarunner, "SNAPSHOT_INTERVAL_BYTES", 20_000)
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", 20_000)
+
+    async def send_changes(fleet):
+        for _ in range(500):
+            await fleet.change()
+        for machine in fleet.vms:
+            files = machine.disk.folder.iterdir()
+            assert sum(path.stat().st_size for path in files) < 50_000
+
+    play(send_changes, ["d1", "d2", "d3"])
