Control VMs: a lost replica is out before its successor votes

What callers saw: with three control VMs, one that came back with an empty disk, was made a voter again and then had a full disk stopped all changes for as long as that lasted. Cause: the successor was promoted first and the lost voter removed afterwards. With both in, three of four must agree, and one of them is gone for good. Change: a learner that has caught up at the address of a voter first takes that one's place: it is removed, then the learner is promoted. Only one VM can be at an address, so the old replica is gone. The successor in another VM of the same failure domain is added first, as before: there the old one may come back.

--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -519,13 +519,33 @@
                 return
 
     def _promote(self, id: str, address: str) -> None:
+        """Makes a learner a voter, after the one that it replaces is out.
+
+        A voter with the learner's address lost its disk. Were both voters,
+        the lost one would count towards the majority that is needed.
+        """
         old = self.replica.members
+        replaced = [v for v, a in old.voters.items() if a == address]
+        if replaced:
+            self._remove(replaced[0])
+            return
         learners = {k: v for k, v in old.learners.items() if k != id}
         members = messages.Members({**old.voters, id: address}, learners)
+        self._propose_members(members, "replica-promoted", id)
+
+    def _remove(self, id: str) -> None:
+        old = self.replica.members
+        voters = {k: v for k, v in old.voters.items() if k != id}
+        members = messages.Members(voters, old.learners)
+        self._propose_members(members, "replica-removed", id)
+
+    def _propose_members(
+        self, members: messages.Members, event: str, id: str
+    ) -> None:
         if self.replica.change_members(members, self.now()) is not None:
             self.replica.flush(self.now())
             self._wake_event.set()
-            self.log.emit("replica-promoted", replica=id)
+            self.log.emit(event, replica=id)
 
 
 def _do_nothing() -> None:
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -213,3 +213,31 @@
             assert sum(path.stat().st_size for path in files) < 50_000
 
     play(send_changes, ["d1", "d2", "d3"])
+
+
+def test_a_wiped_vm_whose_disk_is_full_as_it_votes_again_stops_no_change(play):
+    """Guards against a quorum that counts a lost replica and its successor.
+
+    Of four voters one was lost for good and one out, so all others had to
+    agree; of three VMs two are not enough for that.
+    """
+
+    async def fill_the_disk_of_a_vm_that_is_back(fleet):
+        [leader] = fleet.leaders()
+        wiped = next(m for m in fleet.vms if m is not leader)
+        await wiped.kill()
+        wiped.disk.wipe()
+        async with fleet.changing():
+            wiped.start()
+            await fleet.wait_until(
+                lambda: fleet.lines("replica-promoted"), 10.0
+            )
+            wiped.disk.failing = FULL
+            await asyncio.sleep(1.0)
+            before = fleet.acknowledged
+            await asyncio.sleep(5.0)
+            assert fleet.acknowledged >= before + 10
+            wiped.disk.heal()
+            await fleet.wait_until(fleet.is_whole, 15.0)
+
+    play(fill_the_disk_of_a_vm_that_is_back, ["d1", "d2", "d3"])
