--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -7,12 +7,14 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import time
 
 import msgspec
 
 from pollenseam import commands
 from pollenseam import controlmessages
+from pollenseam import datafolder
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import freshness
@@ -47,8 +49,6 @@
 # Compressed size above which a patch is refused. A link of 2 Mbit/s transfers
 # it in 1.25 s, half of the 2.5 s within which a change must be in force.
 MAX_PATCH_TRANSFER_BYTES = 312_500
-# Delay before the data folder is opened again after a disk error.
-REOPEN_SECONDS = 0.3
 # Age of the local state above which this VM refuses heartbeats of upstreams,
 # so that they announce to another control VM.
 LEADER_UNREACHABLE_SECONDS = 1.5
@@ -125,7 +125,7 @@
         log: Event log.
         peers: Client for calls to other VMs.
         now: Returns the time since boot in seconds.
-        replica_runner: Runner of the replica; replaced after a disk error.
+        supervisor: Keeps the replica running.
         proposer: Submits commands to the leader.
         liveness: Directory of VMs and deadlines of VMs and upstreams.
         freshness: Age of the replica's state.
@@ -155,7 +155,9 @@
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
         self.server = peers.Server(log.clock, peer_client.traffic, log=log)
-        self.replica_runner = self._open()
+        self.supervisor = datafolder.Supervisor(
+            settings.data_folder, settings.name, self._create_runner, log
+        )
         self.proposer = proposer.Proposer(
             lambda: self.replica_runner, peer_client, self.now
         )
@@ -167,6 +169,11 @@
         self._cached_limits: dict[str, leases.Limit] = {}
         self._was_leader_reachable = False
 
+    @property
+    def replica_runner(self) -> replicarunner.ReplicaRunner:
+        """The runner of the replica; another one after a disk error."""
+        return self.supervisor.runner
+
     @property
     def own_record(self) -> controlmessages.ControlVm:
         """The record of this VM, as sent to other VMs."""
@@ -205,7 +212,7 @@
         server.handle(controlmessages.RENEW, self._answer_renew)
         server.handle(controlmessages.JOIN, self._answer_join)
         await server.start(self.settings.address)
-        self._tasks.spawn(self._run_replica())
+        self._tasks.spawn(self.supervisor.run(self._run_replica))
         self._tasks.spawn(self._run_leader_duties())
         self._tasks.spawn(self._follow_leader())
 
@@ -219,12 +226,9 @@
         self._tasks.cancel()
         await self.peers.close()
 
-    def _open(self) -> replicarunner.ReplicaRunner:
-        settings = self.settings
-        local_journal = journal.open_journal(
-            settings.data_folder, settings.name
-        )
-        recovered = local_journal.recover()
+    def _create_runner(
+        self, local_journal: journal.Journal, recovered: journal.Recovered
+    ) -> replicarunner.ReplicaRunner:
         runner = replicarunner.open_runner(
             local_journal,
             recovered,
@@ -232,7 +236,7 @@
             self.log,
             self.now,
             "",
-            settings.address,
+            self.settings.address,
             time.time_ns(),
         )
         runner.on_applied = self._on_applied
@@ -246,38 +250,21 @@
         )
         return runner
 
-    async def _run_replica(self) -> None:
-        """Runs the replica; reopens its data folder after a disk error."""
-        while True:
-            joiner = joining.Joiner(
-                self.own_record,
-                self.replica_runner.journal,
-                self.settings.seeds,
-                self.settings.may_bootstrap,
-                self.peers,
-                self.log,
-            )
-            join_task = asyncio.create_task(joiner.run(self.replica_runner))
-            try:
-                await self.replica_runner.run()
-            finally:
-                join_task.cancel()
-            await self._reopen()
-
-    async def _reopen(self) -> None:
-        while True:
-            await asyncio.sleep(REOPEN_SECONDS)
-            try:
-                # After a failed write, data read back from the kernel's cache
-                # may not be on the disk, so all of it is written again.
-                runner = self._open()
-                runner.journal.rewrite_segments()
-            except (OSError, errors.DamagedError) as error:
-                self.log.emit("disk-refuses", reason=str(error))
-                continue
-            self.replica_runner = runner
-            self.log.emit("replica-restarted", replica=runner.replica.id)
-            return
+    async def _run_replica(self, runner: replicarunner.ReplicaRunner) -> None:
+        """Runs the replica, and its joiner, until its disk fails."""
+        joiner = joining.Joiner(
+            self.own_record,
+            runner.journal,
+            self.settings.seeds,
+            self.settings.may_bootstrap,
+            self.peers,
+            self.log,
+        )
+        join_task = asyncio.create_task(joiner.run(runner))
+        try:
+            await runner.run()
+        finally:
+            join_task.cancel()
 
     def _on_applied(self) -> None:
         if self.applied_registry.index != self._index:
@@ -393,8 +380,12 @@
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
             runner = self.replica_runner
             self._log_leader_reachability()
+            if runner.is_leader:
+                continue
+            if runner.has_lost_leader():
+                await self._ask_to_join()
             address = runner.leader_address
-            if runner.is_leader or not address:
+            if not address:
                 continue
             announced_ids = sorted(self.unreported_ids)
             request = controlmessages.Watch(
@@ -430,6 +421,21 @@
             await asyncio.sleep(0.01)
         self.freshness.record_age(sent_at, response.age_ms)
 
+    async def _ask_to_join(self) -> None:
+        """Asks one other control VM, drawn by lot, for the quorum's leader.
+
+        A replica that was taken out while it could not take part is sent
+        nothing any more, and its own log may still say that it is a voter.
+        """
+        addresses = joining.other_addresses(
+            self.replica_runner.replica.members,
+            self.settings.seeds,
+            self.own_record,
+        )
+        if addresses:
+            address = random.choice(addresses)
+            await joining.request_join(self.peers, address, self.own_record)
+
     def _log_leader_reachability(self) -> None:
         is_reachable = self.is_leader_reachable()
         if is_reachable != self._was_leader_reachable:
@@ -784,4 +790,4 @@
             return ControlVm(settings, log, peer_client)
         except OSError as error:
             log.emit("disk-refuses", reason=str(error))
-            await asyncio.sleep(REOPEN_SECONDS)
+            await asyncio.sleep(datafolder.REOPEN_SECONDS)
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 
 from pollenseam import commands
@@ -13,6 +12,7 @@
 from pollenseam import leases
 from pollenseam import lending
 from pollenseam import messages
+from pollenseam import outbox
 from pollenseam import peers
 from pollenseam import quorumlog
 from pollenseam import replica
@@ -20,9 +20,9 @@
 from pollenseam import state
 
 SNAPSHOT_INTERVAL_ENTRIES = 8192
-MAX_BATCH_MESSAGES = 64
-MAX_QUEUED_MESSAGES = 1024
-RECONNECT_DELAY_SECONDS = 0.05
+# Bytes of commands after which a snapshot is taken as well: the log is held in
+# memory and on disks of 256 MB, and a change may have megabytes.
+SNAPSHOT_INTERVAL_BYTES = 16 * 1024 * 1024
 MAX_PENDING_PROPOSALS = 10_000
 
 Clock = Callable[[], float]
@@ -67,8 +67,7 @@
         own_address: This replica's address for other VMs.
         lending: Leases that this replica grants while it leads.
         failure_reason: Why the replica stopped, or "" while it runs.
-        reported_addresses: Addresses that other replicas gave as their own,
-            by id.
+        outbox: Sends messages to the other replicas.
         on_applied: Called after entries or a snapshot changed the state.
     """
 
@@ -99,17 +98,16 @@
         )
         self._proposals: list[Proposal] = []
         self._pending: dict[int, Proposal] = {}
-        self._queues: dict[str, asyncio.Queue[messages.AnyMessage]] = {}
-        self._sender_tasks: dict[str, asyncio.Task[None]] = {}
+        self.outbox = outbox.Outbox(core, own_address, peer_client, log)
         self._snapshot_sender = snapshots.Sender(
-            core, storage, self._enqueue, self.wake, log, now
+            core, storage, self.outbox.enqueue, self.wake, log, now
         )
         self._incoming_snapshot = snapshots.Incoming("", 0)
         self._wake_event = asyncio.Event()
         self._confirmed_event = asyncio.Event()
         self._last_role = ("", 0, "")
         self._snapshot_index = core.log.base_index
-        self.reported_addresses: dict[str, str] = {}
+        self._bytes_since_snapshot = 0
 
     # Queries.
 
@@ -131,6 +129,16 @@
         ids = members.voters.keys() | members.learners.keys()
         return not self.failure_reason and self.replica.id in ids
 
+    def has_lost_leader(self) -> bool:
+        """Whether this replica runs and has not heard from a leader lately.
+
+        The limit is ELECTION_TIMEOUT_SECONDS. A leader hears from itself.
+        """
+        if self.failure_reason or self.replica.role == replica.LEADER:
+            return False
+        silent_seconds = self.now() - self.replica.leader_contact_at
+        return silent_seconds > replica.ELECTION_TIMEOUT_SECONDS
+
     def replicas(self) -> list[messages.ReplicaRecord]:
         """Returns all replicas in this replica's configuration."""
         core = self.replica
@@ -177,7 +185,7 @@
         """Queues messages of another replica for the loop."""
         if batch.receiver != self.replica.id or self.failure_reason:
             return
-        self.reported_addresses[batch.sender] = batch.address
+        self.outbox.reported_addresses[batch.sender] = batch.address
         self._inbox.extend(batch.messages)
         self._wake_event.set()
 
@@ -272,14 +280,14 @@
                 self._process_inbox()
                 await self._process_ready(self.replica.take_ready())
         except (OSError, errors.DamagedError) as error:
-            self._fail(str(error))
+            self.fail(str(error))
         finally:
-            for task in self._sender_tasks.values():
-                task.cancel()
+            self.outbox.cancel()
             self._snapshot_sender.cancel()
             self.journal.close()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
+        """Records that the disk failed, and fails all proposals."""
         self.failure_reason = reason
         self.log.emit("replica-failed", reason=reason)
         self._fail_proposals("the replica's disk failed")
@@ -373,7 +381,7 @@
         self._proposals.clear()
 
     async def _process_ready(self, ready: quorumlog.Ready) -> None:
-        self._enqueue(ready.messages_before_sync)
+        self.outbox.enqueue(ready.messages_before_sync)
         if ready.hard_state is not None or ready.entries:
             await asyncio.to_thread(
                 self.journal.append, ready.hard_state, ready.entries
@@ -382,7 +390,7 @@
                 last = ready.entries[-1]
                 self.replica.mark_synced(last.index, last.term)
                 self._wake_event.set()
-        self._enqueue(ready.messages)
+        self.outbox.enqueue(ready.messages)
         for id in ready.snapshot_receivers:
             self._snapshot_sender.start(id)
         if ready.committed_entries:
@@ -393,6 +401,7 @@
 
     def _apply(self, entries: list[messages.Entry]) -> None:
         for entry in entries:
+            self._bytes_since_snapshot += len(entry.command)
             outcome = self._apply_entry(entry)
             proposal = self._pending.pop(entry.index, None)
             if proposal is None or proposal.future.done():
@@ -424,10 +433,12 @@
             self._wake_event.set()
 
     async def _compact(self) -> None:
-        index = self.state.index
-        if index - self._snapshot_index < SNAPSHOT_INTERVAL_ENTRIES:
-            return
-        await self.snapshot()
+        entry_count = self.state.index - self._snapshot_index
+        if (
+            entry_count >= SNAPSHOT_INTERVAL_ENTRIES
+            or self._bytes_since_snapshot >= SNAPSHOT_INTERVAL_BYTES
+        ):
+            await self.snapshot()
 
     async def snapshot(self) -> None:
         """Syncs a snapshot of the applied state and compacts the log."""
@@ -443,61 +454,9 @@
         await asyncio.to_thread(self.journal.save_snapshot, header, data, later)
         core.compact(index)
         self._snapshot_index = index
+        self._bytes_since_snapshot = 0
         self.log.emit("snapshot", index=index, bytes=len(data))
 
-    # Messages.
-
-    def _enqueue(self, outbound: list[quorumlog.Outbound]) -> None:
-        for outgoing in outbound:
-            queue = self._get_queue(outgoing.receiver)
-            if queue.full():
-                # The oldest message is the most likely to be out of date.
-                queue.get_nowait()
-            queue.put_nowait(outgoing.message)
-
-    def _get_queue(self, id: str) -> "asyncio.Queue[messages.AnyMessage]":
-        queue = self._queues.get(id)
-        if queue is None:
-            queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
-            self._queues[id] = queue
-            task = asyncio.create_task(self._send_to(id, queue))
-            self._sender_tasks[id] = task
-        return queue
-
-    async def _send_to(
-        self, id: str, queue: "asyncio.Queue[messages.AnyMessage]"
-    ) -> None:
-        while True:
-            address = self._find_address(id)
-            if not address:
-                await queue.get()
-                continue
-            with contextlib.suppress(errors.UnreachableError):
-                await self.peers.stream(
-                    address, peers.DELIVER, self._batches(id, address, queue)
-                )
-            await asyncio.sleep(RECONNECT_DELAY_SECONDS)
-
-    async def _batches(
-        self,
-        id: str,
-        address: str,
-        queue: "asyncio.Queue[messages.AnyMessage]",
-    ) -> AsyncIterator[messages.Batch]:
-        """Yields queued messages until the receiver's address changes."""
-        while self._find_address(id) == address:
-            batch = [await queue.get()]
-            while len(batch) < MAX_BATCH_MESSAGES and not queue.empty():
-                batch.append(queue.get_nowait())
-            yield messages.Batch(
-                self.replica.id, self.own_address, id, 0, batch
-            )
-
-    def _find_address(self, id: str) -> str:
-        # A candidate or leader may belong to a configuration that this replica
-        # does not have yet.
-        return self.replica.address(id) or self.reported_addresses.get(id, "")
-
     # Receiving snapshots.
 
     def _add_chunk(self, chunk: messages.InstallSnapshot) -> None:
@@ -519,7 +478,7 @@
             offset,
             chunk.sent_at,
         )
-        self._enqueue([quorumlog.Outbound(chunk.leader, response)])
+        self.outbox.enqueue([quorumlog.Outbound(chunk.leader, response)])
 
     def _install_snapshot(
         self, chunk: messages.InstallSnapshot, data: bytes
@@ -539,6 +498,7 @@
         self.journal.save_snapshot(header, data, later)
         core.restore(chunk.index, chunk.last_term, chunk.members)
         self._snapshot_index = chunk.index
+        self._bytes_since_snapshot = 0
         self.state.restore_from(new_state)
         self.on_applied()
         self.log.emit("snapshot-installed", index=chunk.index)
@@ -559,13 +519,33 @@
                 return
 
     def _promote(self, id: str, address: str) -> None:
+        """Makes a learner a voter, after the one that it replaces is out.
+
+        A voter with the learner's address lost its disk. Were both voters,
+        the lost one would count towards the majority that is needed.
+        """
         old = self.replica.members
+        replaced = [v for v, a in old.voters.items() if a == address]
+        if replaced:
+            self._remove(replaced[0])
+            return
         learners = {k: v for k, v in old.learners.items() if k != id}
         members = messages.Members({**old.voters, id: address}, learners)
+        self._propose_members(members, "replica-promoted", id)
+
+    def _remove(self, id: str) -> None:
+        old = self.replica.members
+        voters = {k: v for k, v in old.voters.items() if k != id}
+        members = messages.Members(voters, old.learners)
+        self._propose_members(members, "replica-removed", id)
+
+    def _propose_members(
+        self, members: messages.Members, event: str, id: str
+    ) -> None:
         if self.replica.change_members(members, self.now()) is not None:
             self.replica.flush(self.now())
             self._wake_event.set()
-            self.log.emit("replica-promoted", replica=id)
+            self.log.emit(event, replica=id)
 
 
 def _do_nothing() -> None:
