--- a/tests/test_daemon_cut_off.py
+++ b/tests/test_daemon_cut_off.py
@@ -237,3 +237,28 @@
         print(f"sent {sent}, served {served}", *bench.refused[-3:], sep="\n")
         print(*bench.failed_relays("a1")[-40:], sep="\n")
         assert served >= MIN_SERVED_RATIO * sent
+
+
+async def test_responses_and_bodies_stay_whole_through_a_helper(tmp_path):
+    """Guards against framing that is lost between two VMs."""
+    async with daemoncuts.running(tmp_path) as bench:
+        bench.cut("a1", "refuse", "reset")
+        await bench.until(lambda: bench.is_served("a1"))
+        direct = await bench.request("b1", "/echo", "HEAD")
+        relayed = await bench.request("a1", "/echo", "HEAD")
+        for status, headers, body in (direct, relayed):
+            length = direct[1].get("Content-Length")
+            assert (status, body) == (200, b"")
+            assert headers.get("Content-Length") == length
+        assert relayed[1]["X-Upstream"].startswith("svc-")
+        status, _, body = await bench.request("a1", "/empty")
+        assert (status, body) == (204, b"")
+        status, _, body = await bench.request("a1", "/big?chunks=40")
+        assert (status, len(body)) == (200, 40 * 65536)
+        sent = bytes(range(256)) * 3600
+        status, _, body = await bench.request("a1", "/echo", "POST", data=sent)
+        assert (status, body) == (200, sent)
+        status, headers, _ = await bench.request(
+            "a1", "/echo", "POST", data=sent * 2
+        )
+        assert (status, headers["Pollenseam-Executed"]) == (503, "no")
