Replicas: a removal that is sent again after its answer was lost succeeds

A change of the replicas was not idempotent in that case; adding is. Change: removing an id that is no member succeeds: ids are not used again. A VM's name without a replica is refused as before.

--- a/src/pollenseam/bootstrap.py
+++ b/src/pollenseam/bootstrap.py
@@ -206,6 +206,9 @@
         old = runner.replica.members
         replica_ids = old.voters.keys() | old.learners.keys()
         matches = [i for i in replica_ids if name in (i, i.rpartition(".")[0])]
+        if not matches and journal.is_replica_id(name):
+            # A removal that is sent again after its answer was lost.
+            return
         if len(matches) != 1:
             raise errors.refuse(
                 errors.Kind.NO_ROUTE,
--- a/src/pollenseam/journal.py
+++ b/src/pollenseam/journal.py
@@ -6,6 +6,7 @@
 """
 
 import pathlib
+import re
 import secrets
 import zlib
 
@@ -22,6 +23,10 @@
 IDENTITY_FILE = "identity"
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_SUFFIX = ".log"
+# Random bytes at the end of a replica id, written in hexadecimal digits.
+REPLICA_SUFFIX_BYTES = 4
+
+_REPLICA_ID = re.compile(rf".+\.[0-9a-f]{{{2 * REPLICA_SUFFIX_BYTES}}}")
 
 
 class Identity(msgspec.Struct, array_like=True):
@@ -374,6 +379,14 @@
     return _decode_identity(record)
 
 
+def is_replica_id(text: str) -> bool:
+    """Returns whether a text is a replica id, not the name of a VM.
+
+    Each data folder gets its own; an id is not used again.
+    """
+    return _REPLICA_ID.fullmatch(text) is not None
+
+
 def open_journal(folder: pathlib.Path, vm: str) -> Journal:
     """Opens a data folder; creates the folder and an identity if needed.
 
@@ -388,7 +401,7 @@
     files.create_folder(folder)
     identity = read_identity(folder)
     if identity is None:
-        identity = Identity(f"{vm}.{secrets.token_hex(4)}")
+        identity = Identity(f"{vm}.{secrets.token_hex(REPLICA_SUFFIX_BYTES)}")
         journal = Journal(folder, identity)
         journal.save_identity(identity)
         return journal
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -207,7 +207,10 @@
     running.wait_serving(lost)
     replicas = running.run_tool_json("replica", "list")
     old = [r["id"] for r in replicas if r["id"].startswith(lost + ".")]
-    assert running.run_tool("replica", "remove", old[0]).returncode == 0
+    # The second one stands for a removal whose first answer was lost.
+    for _ in range(2):
+        assert running.run_tool("replica", "remove", old[0]).returncode == 0
+    assert running.run_tool("replica", "remove", "no-vm").returncode == 2
     address = running.vms[lost].peer
     assert running.run_tool("replica", "add", lost, address).returncode == 0
 
