Daemon: upstreams that say they leave get no more requests, and pauses are kept

The two new statements in the daemon's own interface: Pollenseam-Leaving: 1 in any response, Retry-After in the shed answer. Announcements are late or lost where responses arrive, and a full upstream could only shed again and again. Change: the daemon's pools ask the same table of statements as the entry program's (upstreamstatements, statementwatch), by service and name; leaving goes to other VMs with the leases' renewals. A request whose time ends before all pauses is refused at once, Retry-After rounded up to whole seconds. Look-ups count an upstream that leaves as gone, a paused one as serving. The stand-in upstream says both. Table.retain asks for the latest start instead of the registry's records. Limit: a VM without any workspace's share renews nothing and tells nobody.

--- a/src/pollenseam/admission.py
+++ b/src/pollenseam/admission.py
@@ -1,6 +1,7 @@
 """Admission of requests on an entry VM: rate tokens and upstream slots."""
 
 import asyncio
+import math
 
 from pollenseam import buckets
 from pollenseam import catalog
@@ -155,6 +156,7 @@
             if upstream is not None:
                 queue.charge(workspace, weight)
                 return upstream
+            self._check_pauses(service, deadline)
         future = asyncio.get_running_loop().create_future()
         waiter = queues.Waiter(workspace, weight, deadline, future)
         if not queue.push(waiter):
@@ -164,6 +166,23 @@
             )
         return await self._wait_slot(service, queue, waiter, future)
 
+    def _check_pauses(self, service: catalog.Service, deadline: float) -> None:
+        """Refuses a request whose time ends before all upstreams' pauses.
+
+        Raises:
+            RefusedError: No upstream wants a request before `deadline`.
+        """
+        now = self.vm.now()
+        pool = self.vm.pool(service.path)
+        seconds = pool.pause_seconds(self.vm.flags.region, now)
+        if now + seconds > deadline:
+            raise errors.refuse(
+                errors.Kind.NO_ROOM,
+                f"all upstreams asked for a pause, the first for {seconds:.3g} "
+                "s more",
+                retry_after=math.ceil(seconds),
+            )
+
     async def _wait_slot(
         self,
         service: catalog.Service,
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -298,7 +298,9 @@
             self.unreported_ids.clear()
             self.liveness.remove_expired(runner.replica.members, now)
             self._record_expired(now)
-            self.board.statements.retain(self.applied_registry.upstreams, now)
+            self.board.statements.retain(
+                self.applied_registry.latest_start, now
+            )
             self._remove_replaced_voter(now)
 
     def _start_leading(self, term: int, now: float) -> None:
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -368,7 +368,7 @@
             self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
-        self.statement_watch.retain(self.registry.upstreams)
+        self.statement_watch.retain(self.registry.latest_start)
         self.dispatcher.sender.crash_watch.record_upstreams(
             self.registry.upstreams
         )
--- a/src/pollenseam/forwarder.py
+++ b/src/pollenseam/forwarder.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import aiohttp
+
 from pollenseam import admission
 from pollenseam import catalog
 from pollenseam import connects
@@ -10,9 +12,11 @@
 from pollenseam import exchangerelay
 from pollenseam import exchanges
 from pollenseam import exchangesending
+from pollenseam import headers
 from pollenseam import lifecycles
 from pollenseam import relaying
 from pollenseam import shifts
+from pollenseam import statementwatch
 from pollenseam import upstreams
 from pollenseam import vm
 
@@ -290,7 +294,11 @@
             )
             raise
         shed = exchange.route.service.shed
-        if response.status == shed.status and shed.header in response.headers:
+        is_shed = (
+            response.status == shed.status and shed.header in response.headers
+        )
+        self._record_statements(reservation.upstream, response, is_shed)
+        if is_shed:
             response.close()
             exchange.is_sent = was_sent
             exchange.received_by.discard(reservation.upstream.record.name)
@@ -307,6 +315,23 @@
             raise _ShedError
         return exchanges.StreamingResponse(response, reservation, exchange)
 
+    def _record_statements(
+        self,
+        upstream: upstreams.Upstream,
+        response: aiohttp.ClientResponse,
+        is_shed: bool,
+    ) -> None:
+        """Records what the head of a response states about its upstream."""
+        record = upstream.record
+        speaker = statementwatch.Speaker(
+            record.path, record.incarnation, record.service, upstream.in_flight
+        )
+        if response.headers.get(headers.LEAVING, "").strip() == "1":
+            self.vm.statement_watch.record_leaving(speaker)
+        if is_shed and "Retry-After" in response.headers:
+            pause = response.headers["Retry-After"]
+            self.vm.statement_watch.record_pause(speaker, pause)
+
     def _record_shed(self, reservation: exchanges.Reservation) -> None:
         self.vm.metrics.sheds += 1
         self.vm.pool(reservation.service).record_shed(
--- a/src/pollenseam/headers.py
+++ b/src/pollenseam/headers.py
@@ -25,6 +25,8 @@
 WORKSPACE = "Pollenseam-Workspace"
 VM = "Pollenseam-Vm"
 EXECUTED = "Pollenseam-Executed"
+# Sent by an upstream that leaves, with the value 1.
+LEAVING = "Pollenseam-Leaving"
 TIMEOUT = "Request-Timeout-Ms"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
--- a/src/pollenseam/messages.py
+++ b/src/pollenseam/messages.py
@@ -423,6 +423,11 @@
     load: float
     ttl_ms: int
 
+    @property
+    def path(self) -> str:
+        """Path of the service and name, unique in the fleet."""
+        return f"{self.service}/{self.name}"
+
 
 class VmHeartbeat(msgspec.Struct, array_like=True):
     """A heartbeat of a VM whose record the receiver already has.
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -256,6 +256,7 @@
         "sheds",
         "connects",
         "relays",
+        "statements",
         "latencies",
     )
 
@@ -270,6 +271,7 @@
         self.sheds = 0
         self.connects = Counter("connects_total", "service", "outcome")
         self.relays = Counter("relays_total", "service", "outcome")
+        self.statements = Counter("statements_total", "kind", "outcome")
         self.latencies = Summary("latency_seconds", "service")
 
     def observe(self, service: str, seconds: float) -> None:
@@ -306,4 +308,5 @@
             yield f"pollenseam_{name}_total {getattr(self, name)}"
         yield from self.connects.lines()
         yield from self.relays.lines()
+        yield from self.statements.lines()
         yield from self.latencies.lines()
--- a/src/pollenseam/registry.py
+++ b/src/pollenseam/registry.py
@@ -12,6 +12,7 @@
 
 from pollenseam import bounds
 from pollenseam import items
+from pollenseam import upstreamstatements
 
 # Encoded size above which a page is complete. A page takes 0.13 s on a link of
 # 2 Mbit/s, so traffic on the same link hardly waits for it.
@@ -219,6 +220,15 @@
             self._commit(index, changed)
         self._delete_ended(clock_ms)
 
+    def latest_start(self, id: str) -> upstreamstatements.Latest | None:
+        """Returns the latest start of an upstream; None if it is not known."""
+        record = self.upstreams.get(id)
+        if record is None:
+            return None
+        return upstreamstatements.Latest(
+            record.started_ms, record.state == STOPPED
+        )
+
     def is_update(self, record: Upstream) -> bool:
         """Returns whether a record would change the registry.
 
--- a/src/pollenseam/renewer.py
+++ b/src/pollenseam/renewer.py
@@ -8,8 +8,10 @@
 from pollenseam import lending
 from pollenseam import messages
 from pollenseam import peers
+from pollenseam import statementwatch
 from pollenseam import submitter
 from pollenseam import traces
+from pollenseam import upstreamstatements
 from pollenseam import vm
 
 RENEW_SECONDS = 0.5
@@ -38,6 +40,7 @@
     async def run(self) -> None:
         """Renews leases until cancelled."""
         while True:
+            self.vm.statement_watch.end_pauses()
             renewed = await self.renew()
             period = RENEW_SECONDS if renewed else RENEW_RETRY_SECONDS
             wake = self.vm.lease_wake
@@ -85,7 +88,19 @@
         fleet_view = self.vm.fleet_view
         known_term = fleet_view.known.term
         self._is_full_report_due = update.revisions.term != known_term
-        fleet_view.receive(request.observed, update, self.vm.now())
+        changed = fleet_view.receive(request.observed, update, self.vm.now())
+        for statement in changed:
+            if statement.is_leaving:
+                self._log_leaving(statement)
+
+    def _log_leaving(self, statement: upstreamstatements.Statement) -> None:
+        """Logs that another VM heard an upstream say that it leaves."""
+        path = statement.upstream
+        service = path.rpartition("/")[0]
+        speaker = statementwatch.Speaker(path, statement.started_ms, service, 0)
+        self.vm.statement_watch.log_leaving(
+            speaker, statement.age_ms, "other-vm"
+        )
 
     async def _send(
         self, request: messages.LeaseRequest
--- a/src/pollenseam/standins/upstream.py
+++ b/src/pollenseam/standins/upstream.py
@@ -36,6 +36,7 @@
         load_lag_ms: Age in ms of the reported load.
         reported_load: Load to report instead of the true one, or None.
         sheds: Whether requests beyond `slots` are shed; otherwise they queue.
+        pause: Retry-After of a response that sheds a request, or "".
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "load_lag_ms",
         "reported_load",
         "sheds",
+        "pause",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         load_lag_ms: float = 0.0,
         reported_load: float | None = None,
         sheds: bool = True,
+        pause: str = "",
     ) -> None:
         self.slots = slots
         self.work_ms = work_ms
@@ -65,6 +68,7 @@
         self.load_lag_ms = load_lag_ms
         self.reported_load = reported_load
         self.sheds = sheds
+        self.pause = pause
 
 
 class Upstream:
@@ -116,9 +120,17 @@
             return web.json_response({"load": self.load()})
         if page == "/runs":
             return web.json_response(self.report())
+        response = await self._serve(request)
+        if self.state == "leaving" and not response.prepared:
+            response.headers["Pollenseam-Leaving"] = "1"
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.seen.append([[k, v] for k, v in request.headers.items()])
         if self.running >= self.behaviour.slots and self.behaviour.sheds:
             headers = {"Pollenseam-Shed": "yes"}
+            if self.behaviour.pause:
+                headers["Retry-After"] = self.behaviour.pause
             return web.Response(status=503, headers=headers)
         async with self._slots:
             return await self._run(request)
--- a/src/pollenseam/statementwatch.py
+++ b/src/pollenseam/statementwatch.py
@@ -1,19 +1,38 @@
 """Records and logs what upstreams state in their responses."""
 
 from collections.abc import Callable
-from collections.abc import Mapping
 
 from pollenseam import calls
 from pollenseam import events
 from pollenseam import metrics
-from pollenseam import registry
 from pollenseam import steering
 from pollenseam import upstreamstatements
 from pollenseam import upstreamstats
 
 
+class Speaker:
+    """The upstream that a statement concerns, as this VM knows it.
+
+    Attributes:
+        id: Id of the upstream.
+        started_ms: Its start in Unix milliseconds.
+        service: Its service.
+        in_flight: Requests of this VM that are running on it.
+    """
+
+    __slots__ = ("id", "started_ms", "service", "in_flight")
+
+    def __init__(
+        self, id: str, started_ms: int, service: str, in_flight: int
+    ) -> None:
+        self.id = id
+        self.started_ms = started_ms
+        self.service = service
+        self.in_flight = in_flight
+
+
 class StatementWatch:
-    """Follows the statements of the upstreams of an entry VM.
+    """Follows the statements of the upstreams of one VM.
 
     Attributes:
         table: The latest statements.
@@ -45,56 +64,67 @@
         """Records what the head of a response states."""
         if head.is_replaced:
             return
+        speaker = _speaker(upstream)
         if head.is_leaving:
-            self._record_leaving(upstream)
+            self.record_leaving(speaker)
         if head.pause:
-            self._record_pause(upstream, head.pause)
+            self.record_pause(speaker, head.pause)
         if head.matches_request or head.is_not_run:
             self._record_rate(pool, upstream, head.stated_limit)
 
-    def _record_leaving(self, upstream: upstreamstats.UpstreamStats) -> None:
-        record = upstream.record
-        if self.table.record_leaving(record.id, record.started_ms, self.now()):
+    def record_leaving(self, speaker: Speaker) -> None:
+        """Records a response which says that the upstream leaves."""
+        if self.table.record_leaving(
+            speaker.id, speaker.started_ms, self.now()
+        ):
             self.counter.add("leaving", "heard")
-            self._log_leaving(upstream, 0, "response")
+            self.log_leaving(speaker, 0, "response")
 
-    def _log_leaving(
-        self, upstream: upstreamstats.UpstreamStats, age_ms: int, source: str
-    ) -> None:
+    def log_leaving(self, speaker: Speaker, age_ms: int, source: str) -> None:
+        """Logs that an upstream has said that it leaves.
+
+        Args:
+            speaker: The upstream.
+            age_ms: Time since the response was read, in milliseconds.
+            source: "response" or "other-vm".
+        """
         self.log.emit_often(
             "stated-leaving",
-            upstream=upstream.record.id,
-            service=upstream.record.service,
-            in_flight=upstream.in_flight,
+            upstream=speaker.id,
+            service=speaker.service,
+            in_flight=speaker.in_flight,
             age_ms=age_ms,
             source=source,
         )
 
-    def _record_pause(
-        self, upstream: upstreamstats.UpstreamStats, text: str
-    ) -> None:
-        record = upstream.record
+    def record_pause(self, speaker: Speaker, text: str) -> None:
+        """Records a response that asks for a pause.
+
+        Args:
+            speaker: The upstream.
+            text: Seconds, as the response states them.
+        """
         now = self.now()
         seconds = upstreamstatements.parse_pause(text)
         if seconds is None:
             self.counter.add("pause", "invalid")
-            self.log.emit_often("pause-invalid", upstream=record.id, text=text)
+            self.log.emit_often("pause-invalid", upstream=speaker.id, text=text)
             return
-        known = self.table.find(record.id, record.started_ms)
+        known = self.table.find(speaker.id, speaker.started_ms)
         left_seconds = max(0.0, known.paused_until - now) if known else 0.0
         if not self.table.record_pause(
-            record.id, record.started_ms, seconds, now
+            speaker.id, speaker.started_ms, seconds, now
         ):
             self.counter.add("pause", "shorter")
             return
         self.counter.add("pause", "replaced" if left_seconds else "heard")
         self.log.emit_often(
             "stated-pause",
-            upstream=record.id,
-            service=record.service,
+            upstream=speaker.id,
+            service=speaker.service,
             seconds=seconds,
             replaced_seconds=left_seconds or None,
-            in_flight=upstream.in_flight,
+            in_flight=speaker.in_flight,
         )
 
     def _record_rate(
@@ -144,17 +174,25 @@
         """Logs a statement that another VM read and that changed something."""
         if statement.is_leaving:
             self.counter.add("leaving", "received")
-            self._log_leaving(upstream, statement.age_ms, "other-vm")
+            speaker = _speaker(upstream)
+            self.log_leaving(speaker, statement.age_ms, "other-vm")
             return
         self.counter.add("rate", "received")
         self._log_rate(
             pool, upstream, statement.rate, statement.age_ms, "other-vm"
         )
 
-    def retain(self, upstreams: Mapping[str, registry.Upstream]) -> None:
-        """Drops statements of upstreams that ended or started again."""
+    def retain(
+        self,
+        find_latest: Callable[[str], upstreamstatements.Latest | None],
+    ) -> None:
+        """Drops statements of upstreams that ended or started again.
+
+        Args:
+            find_latest: Returns what is known of an upstream, by its id.
+        """
         now = self.now()
-        for upstream, record in self.table.retain(upstreams, now):
+        for upstream, record in self.table.retain(find_latest, now):
             self.log.emit_often(
                 "statement-cleared",
                 upstream=upstream,
@@ -169,3 +207,10 @@
             self.log.emit_often(
                 "pause-ended", upstream=upstream, kept_away=record.kept_away
             )
+
+
+def _speaker(upstream: upstreamstats.UpstreamStats) -> Speaker:
+    record = upstream.record
+    return Speaker(
+        record.id, record.started_ms, record.service, upstream.in_flight
+    )
--- a/src/pollenseam/upstreams.py
+++ b/src/pollenseam/upstreams.py
@@ -6,6 +6,7 @@
 from pollenseam import lifecycles
 from pollenseam import members
 from pollenseam import messages
+from pollenseam import upstreamstatements
 
 LOAD_REPORT_FADE_SECONDS = 1.0
 LATENCY_WEIGHT = 0.2
@@ -144,13 +145,17 @@
     Attributes:
         upstreams: Upstreams by name.
         random: Seeded random generator, used to break ties.
+        statements: What upstreams stated in their responses.
     """
 
-    __slots__ = ("upstreams", "random")
+    __slots__ = ("upstreams", "random", "statements")
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, statements: upstreamstatements.Table | None = None
+    ) -> None:
         self.upstreams: dict[str, Upstream] = {}
         self.random = random.Random(seed)
+        self.statements = statements or upstreamstatements.Table()
 
     def refresh(
         self, latest: Iterable[members.KnownUpstream], now: float
@@ -187,6 +192,35 @@
         upstream.record = known.record
         upstream.deadline = known.deadline
 
+    def _is_usable(self, upstream: Upstream, now: float) -> bool:
+        """Returns whether an upstream gets requests, now or after a pause."""
+        record = upstream.record
+        return upstream.is_usable(now) and not self.statements.is_over(
+            record.path, record.incarnation
+        )
+
+    def pause_seconds(self, region: str, now: float) -> float:
+        """Returns the time until an upstream of a region is not paused.
+
+        It is 0 if one is not, and if none is usable.
+
+        Args:
+            region: Region to look in.
+            now: Time in seconds.
+        """
+        left = [
+            self._pause_seconds(upstream, now)
+            for upstream in self.upstreams.values()
+            if upstream.record.region == region
+            and self._is_usable(upstream, now)
+        ]
+        return min(left, default=0.0)
+
+    def _pause_seconds(self, upstream: Upstream, now: float) -> float:
+        record = upstream.record
+        stated = self.statements.find(record.path, record.incarnation)
+        return max(0.0, stated.paused_until - now) if stated else 0.0
+
     def choose(
         self, region: str, domain: str, now: float, tried: set[str]
     ) -> Upstream | None:
@@ -209,11 +243,11 @@
             record = upstream.record
             if record.region != region or name in tried:
                 continue
-            if not upstream.is_usable(now):
+            if not self._is_usable(upstream, now):
                 continue
             is_unreachable = now < upstream.unreachable_until
             has_reachable |= not is_unreachable
-            if not upstream.has_room(now):
+            if not upstream.has_room(now) or self._pause_seconds(upstream, now):
                 continue
             is_remote = int(record.failure_domain != domain)
             load = upstream.utilization(now)
@@ -226,7 +260,7 @@
     def has_usable(self, region: str, now: float) -> bool:
         """Returns whether any upstream of a region may get requests."""
         return any(
-            upstream.record.region == region and upstream.is_usable(now)
+            upstream.record.region == region and self._is_usable(upstream, now)
             for upstream in self.upstreams.values()
         )
 
@@ -238,7 +272,9 @@
         used = 0
         slots = 0
         for upstream in self.upstreams.values():
-            if upstream.record.region == region and upstream.is_usable(now):
+            if upstream.record.region != region:
+                continue
+            if self._is_usable(upstream, now):
                 used += upstream.in_flight
                 slots += upstream.record.slots
         return used, slots
--- a/src/pollenseam/upstreamstatements.py
+++ b/src/pollenseam/upstreamstatements.py
@@ -7,13 +7,12 @@
 """
 
 import re
+from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 import msgspec
 
 from pollenseam import bounds
-from pollenseam import registry
 from pollenseam import revisions
 
 # A stated rate above this is no limit in practice, and probably a mistake.
@@ -59,6 +58,21 @@
         return has_rate and is_past and self.started_ms <= bounds.MAX_INTEGER
 
 
+class Latest:
+    """What the registry or directory knows of an upstream.
+
+    Attributes:
+        started_ms: Latest start in Unix milliseconds.
+        has_ended: Whether that start has ended as announced.
+    """
+
+    __slots__ = ("started_ms", "has_ended")
+
+    def __init__(self, started_ms: int, has_ended: bool) -> None:
+        self.started_ms = started_ms
+        self.has_ended = has_ended
+
+
 class Record:
     """The latest known statements of one start of an upstream.
 
@@ -288,12 +302,12 @@
         ]
 
     def retain(
-        self, upstreams: Mapping[str, registry.Upstream], now: float
+        self, find_latest: Callable[[str], Latest | None], now: float
     ) -> list[tuple[str, Record]]:
-        """Drops the records of upstreams that stopped or started again.
+        """Drops the records of upstreams that ended or started again.
 
         Args:
-            upstreams: Records of the registry, by upstream id.
+            find_latest: Returns what is known of an upstream, by its id.
             now: Time in seconds.
 
         Returns:
@@ -302,7 +316,7 @@
         dropped = [
             (upstream, record)
             for upstream, record in self.records.items()
-            if _has_ended(record, upstreams.get(upstream), now)
+            if _has_ended(record, find_latest(upstream), now)
         ]
         for upstream, _ in dropped:
             del self.records[upstream]
@@ -338,13 +352,11 @@
         return sum(r.paused_until > now for r in self.records.values())
 
 
-def _has_ended(
-    record: Record, latest: registry.Upstream | None, now: float
-) -> bool:
+def _has_ended(record: Record, latest: Latest | None, now: float) -> bool:
     if latest is None:
         return now - record.read_at > RETAIN_SECONDS
     if latest.started_ms == record.started_ms:
-        return latest.state == registry.STOPPED
+        return latest.has_ended
     return latest.started_ms > record.started_ms
 
 
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -21,9 +21,11 @@
 from pollenseam import replicarunner
 from pollenseam import settings
 from pollenseam import shifts
+from pollenseam import statementwatch
 from pollenseam import traces
 from pollenseam import tree
 from pollenseam import upstreams
+from pollenseam import upstreamstatements
 
 # Returns the time since boot in seconds, including time spent suspended. This
 # is a partial and not a function because each request calls it several times.
@@ -59,6 +61,7 @@
         freshness: Tracks the age of the settings.
         lease_table: Leases of this VM.
         fleet_view: Observations at upstreams, shared by all VMs.
+        statement_watch: Follows what upstreams state in their responses.
         board: What the VMs observe at upstreams; used by the leader.
         pools: Pool of upstreams, by service path.
         metrics: Counters and latencies.
@@ -120,6 +123,9 @@
             self.region_addresses,
             self.pool,
         )
+        self.statement_watch = statementwatch.StatementWatch(
+            self.fleet_view.statements, log, self.now, self.metrics.statements
+        )
         self.trace = traces.open_recorder(daemon_flags.trace_file)
         if self.trace.is_on:
             name, region = daemon_flags.vm, daemon_flags.region
@@ -259,7 +265,9 @@
         """
         pool = self.pools.get(service)
         if pool is None:
-            pool = self.pools[service] = upstreams.Pool(self.incarnation)
+            pool = self.pools[service] = upstreams.Pool(
+                self.incarnation, self.fleet_view.statements
+            )
         return pool
 
     def refresh_pools(self) -> bool:
@@ -279,8 +287,18 @@
             pool = self.pool(service)
             pool.refresh(grouped.get(service, ()), now)
             self.reach_watch.retain(service, pool.upstreams)
+        self.statement_watch.retain(self._latest_start)
+        self.board.statements.retain(self._latest_start, now)
         return True
 
+    def _latest_start(self, path: str) -> upstreamstatements.Latest | None:
+        service, _, name = path.rpartition("/")
+        known = self.directory.upstreams.get((service, name))
+        if known is None:
+            return None
+        has_ended = known.record.state == lifecycles.UpstreamState.GONE
+        return upstreamstatements.Latest(known.record.incarnation, has_ended)
+
     def region_addresses(self, service: str) -> dict[str, str]:
         """Returns the addresses of a service's upstreams, by name.
 
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -32,9 +32,9 @@
     assert table.in_force("i1", 6) is None
     assert table.record("i1", 5, upstreamstatements.NO_LIMIT, 2.0)
     assert table.in_force("i1", 5) is None
-    table.retain({}, 2.0 + upstreamstatements.RETAIN_SECONDS)
+    table.retain(lambda upstream: None, 2.0 + upstreamstatements.RETAIN_SECONDS)
     assert list(table.records) == ["i1"]
-    table.retain({}, 2.1 + upstreamstatements.RETAIN_SECONDS)
+    table.retain(lambda upstream: None, 2.1 + upstreamstatements.RETAIN_SECONDS)
     assert table.records == {}
 
 
--- a/tests/test_statement_lifecycle.py
+++ b/tests/test_statement_lifecycle.py
@@ -61,7 +61,7 @@
         }
         serving = [u for u in upstreams.values() if u.state == registry.SERVING]
         self.pools[vm].update(serving, {"a1": "a"}, self.now)
-        self.views[vm].statements.retain(upstreams, self.now)
+        self.views[vm].statements.retain(self.registry.latest_start, self.now)
 
     @stateful.rule(
         vm=st.integers(0, VM_COUNT - 1),
