Daemon: serves once its settings are fresh

What callers saw: nothing traced to it. A daemon that was restarted said that it serves while it accepted no key yet: look-ups name it, and keyed requests there were refused for about a tenth of a second. Trace: the leader reaches a restarted replica after up to 1.0 s (its connection waits before it tries again); the fetch that tells the age waits 1.0 s for the log. When the log came in 1.03 to 1.13 s after the start, the age was not recorded, and the next fetch and 'ready' raced. Writing the log again before the replica takes part adds what a sync takes; inferred: that made an existing race more frequent. Change: the wait for leases before 'ready' waits for fresh settings too, with the same limit: without a leader the daemon serves open routes as before. Test: test_a_daemon_serves_once_its_settings_are_fresh; failed before (the start was done), passes now.

--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -146,12 +146,12 @@
         )
 
     async def _wait_for_leases(self) -> None:
-        """Waits until the VM has a current lease for each limited rate.
+        """Waits until the VM has fresh settings and a lease for each rate.
 
         A new leader grants shares only once the leases of its predecessor
         have expired, so the VM waits a little longer than a lease at most.
         After that it serves even if it has no leases, for example because
-        there is no leader: routes whose access is "open" need no share.
+        there is no leader: routes whose access is "open" need neither.
         """
         local_vm = self.vm
         max_wait = (
@@ -160,9 +160,9 @@
             + FIRST_LEASE_MARGIN_SECONDS
         )
         deadline = local_vm.now() + max_wait
-        while (
-            local_vm.now() < deadline
-            and not local_vm.lease_table.is_complete(local_vm.now())
+        while local_vm.now() < deadline and not (
+            local_vm.is_fresh()
+            and local_vm.lease_table.is_complete(local_vm.now())
         ):
             await asyncio.sleep(0.02)
 
--- a/tests/test_datafolder.py
+++ b/tests/test_datafolder.py
@@ -28,3 +28,26 @@
         async with harness.running(tmp_path):
             assert not failures
     assert not exits
+
+
+async def test_a_daemon_serves_once_its_settings_are_fresh(
+    tmp_path, monkeypatch
+):
+    """Guards against callers sent to a VM that accepts no key yet.
+
+    Its replica has caught up with the log, but nobody has told it so.
+    """
+    bench = harness.Bench(tmp_path)
+    local_vm = bench.daemon.vm
+    real_is_fresh = type(local_vm).is_fresh
+    monkeypatch.setattr(type(local_vm), "is_fresh", lambda _: False)
+    start = asyncio.create_task(bench.daemon.start())
+    await local_vm.settings_fetched.wait()
+    now = local_vm.now
+    await bench.until(lambda: local_vm.lease_table.is_complete(now()))
+    await asyncio.sleep(0.1)
+    assert not start.done()
+    monkeypatch.setattr(type(local_vm), "is_fresh", real_is_fresh)
+    async with asyncio.timeout(1.0):
+        await start
+    await bench.close()
