--- a/src/pollenseam/relaying.py
+++ b/src/pollenseam/relaying.py
@@ -23,9 +23,12 @@
 from pollenseam import relaymessages
 
 CONNECT_SECONDS = 0.3
-# Time for the connection to the last helper that may be asked, at most half of
-# what the call has left.
+# Time for the connection to the last helper that may be asked, and the part of
+# what the call has left that it may take. A helper in doubt gets one call at a
+# time, which may wait longer for all others.
 LAST_CONNECT_SECONDS = 1.0
+LAST_CONNECT_RATIO = 0.25
+DOUBTED_CONNECT_RATIO = 0.5
 # A call with less time left is not given to a helper.
 MIN_LEFT_SECONDS = 0.005
 # Helpers that are asked for one attempt.
@@ -155,7 +158,9 @@
             if helper is None:
                 break
             asked.add(helper.name)
-            connect_seconds = self._connect_seconds(active_call, asked)
+            connect_seconds = self._connect_seconds(
+                active_call, helper.name, asked
+            )
             response = await self._ask(
                 active_call, helper, claim, connect_seconds
             )
@@ -179,11 +184,16 @@
         )
 
     def _connect_seconds(
-        self, active_call: calls.ActiveCall, asked: set[str]
+        self, active_call: calls.ActiveCall, helper: str, asked: set[str]
     ) -> float:
-        """Returns how long the last of the asked helpers may take to connect.
+        """Returns how long a helper may take to connect.
 
         A VM that is busy may take a while, so the last one gets more time.
+
+        Args:
+            active_call: The call.
+            helper: Name of the helper.
+            asked: Names of all helpers asked for the call, this one included.
         """
         now = self.now()
         left_seconds = active_call.deadline - now
@@ -192,7 +202,10 @@
         )
         connect_seconds = CONNECT_SECONDS
         if is_last:
-            last_seconds = min(LAST_CONNECT_SECONDS, left_seconds / 2)
+            ratio = LAST_CONNECT_RATIO
+            if helper in self.helpers.doubted:
+                ratio = DOUBTED_CONNECT_RATIO
+            last_seconds = min(LAST_CONNECT_SECONDS, left_seconds * ratio)
             connect_seconds = max(CONNECT_SECONDS, last_seconds)
         return min(connect_seconds, left_seconds)
 
