--- a/tests/test_free_ports.py
+++ b/tests/test_free_ports.py
@@ -1,14 +1,18 @@
 """Ports of stand-in fleets."""
 
 import json
+import os
 import subprocess
 import sys
 
 from pollenseam.standins import fleet
 
-PRINT_PORTS = """
+# A few, so that two processes would draw the same; others in another test run.
+FIRST_PORT = 30_000 + 40 * (os.getpid() % 50)
+PORTS = range(FIRST_PORT, FIRST_PORT + 40)
+PRINT_PORTS = f"""
 from pollenseam.standins import fleet
-fleet.FREE_PORTS = range(30_000, 30_040)
+fleet.FREE_PORTS = {PORTS}
 print([fleet.free_port() for _ in range(20)])
 input()
 """
@@ -19,7 +23,7 @@
 
     The port was one that outgoing connections and other tests use too.
     """
-    monkeypatch.setattr(fleet, "FREE_PORTS", range(30_000, 30_040))
+    monkeypatch.setattr(fleet, "FREE_PORTS", PORTS)
     with subprocess.Popen(
         [sys.executable, "-c", PRINT_PORTS],
         stdin=subprocess.PIPE,
