Control VM: renewals of entry VMs in a module of their own; one look at what is out of reach

ReachWatch answers whether a service is out of reach, which dispatcher and poolreach each computed. No behaviour changes; tests name the constants at their new place.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -22,7 +22,6 @@
 from pollenseam import joining
 from pollenseam import journal
 from pollenseam import leases
-from pollenseam import lending
 from pollenseam import liveness
 from pollenseam import messages
 from pollenseam import metrics
@@ -31,6 +30,7 @@
 from pollenseam import proposer
 from pollenseam import registry
 from pollenseam import registrysync
+from pollenseam import renewals
 from pollenseam import replicarunner
 from pollenseam import tasks
 from pollenseam import validity
@@ -52,19 +52,8 @@
 # Age of the local state above which this VM refuses heartbeats of upstreams,
 # so that they announce to another control VM.
 LEADER_UNREACHABLE_SECONDS = 1.5
-# Parts of the undemanded rate that are lent: evenly, and in proportion to
-# demand. Both are small because the lender keeps the rest for overdrafts.
-IDLE_SPARE_RATIO = 0.05
-BUSY_SPARE_RATIO = 0.05
-# Burst per entry VM below which a workspace's burst is not split into shares:
-# smaller shares run out by chance.
-MIN_SHARE_BURST = 3.0
 # Time that calls of other VMs in progress get at a planned stop.
 CLOSE_SECONDS = 0.3
-# Part of the permitted overdraft that is lent.
-LENT_OVERDRAFT_RATIO = 0.4
-# Nothing is lent of a resource without a limit.
-ZERO_LIMIT = leases.Limit(0.0, 0.0)
 
 
 class Settings:
@@ -130,6 +119,7 @@
         liveness: Directory of VMs and deadlines of VMs and upstreams.
         freshness: Age of the replica's state.
         board: What entry VMs observe at upstreams; used by the leader.
+        renewals: Leases shares of rates to entry VMs; used by the leader.
         unreported_ids: Ids of upstreams that announced themselves to this VM
             and are not yet reported to the leader.
         changed: Event that is set, and replaced by a new one, when the
@@ -158,6 +148,16 @@
         self.supervisor = datafolder.Supervisor(
             settings.data_folder, settings.name, self._create_runner, log
         )
+        self.renewals = renewals.Renewals(
+            log,
+            self.now,
+            lambda: self.replica_runner,
+            lambda: self.applied_registry,
+            lambda: self.settings.tolerance,
+            self.liveness,
+            self.board,
+            self.metrics.renewals,
+        )
         self.proposer = proposer.Proposer(
             lambda: self.replica_runner, peer_client, self.now
         )
@@ -165,8 +165,6 @@
         self._index = 0
         self._led_term = 0
         self._members_index = -1
-        self._limits_index = -1
-        self._cached_limits: dict[str, leases.Limit] = {}
         self._was_leader_reachable = False
 
     @property
@@ -209,7 +207,7 @@
         server.handle(peers.SUBMIT, self._answer_submit)
         server.handle(peers.READ, self._answer_read)
         server.handle(controlmessages.WATCH, self._answer_watch)
-        server.handle(controlmessages.RENEW, self._answer_renew)
+        server.handle(controlmessages.RENEW, self.renewals.answer)
         server.handle(controlmessages.JOIN, self._answer_join)
         await server.start(self.settings.address)
         self._tasks.spawn(self.supervisor.run(self._run_replica))
@@ -307,11 +305,7 @@
         self.liveness.start_term(
             term, self.applied_registry.upstreams.values(), now
         )
-        lender = self.replica_runner.lending.lender
-        lender.idle_spare = IDLE_SPARE_RATIO
-        lender.busy_spare = BUSY_SPARE_RATIO
-        lender.min_share_burst = MIN_SHARE_BURST
-        lender.expect_reports(entry.name for entry in self.directory.entries)
+        self.renewals.start_leading()
 
     def _log_block(self, fingerprint: bytes) -> None:
         suspect = self.board.blocklist.suspects[fingerprint]
@@ -691,93 +685,6 @@
                 await self.changed.wait()
             await asyncio.sleep(BATCH_SECONDS)
 
-    async def _answer_renew(
-        self, request: controlmessages.Renew
-    ) -> messages.LeaseResponse:
-        """Leases shares of workspaces' rates to an entry VM.
-
-        A lease ends LEASE_SECONDS after the time at which leadership was
-        confirmed, so that the next leader knows when all leases have ended.
-        """
-        controlmessages.check_record(request.entry)
-        runner = self.replica_runner
-        confirmed_at = runner.confirmed_at()
-        if confirmed_at is None:
-            self.metrics.renewals.add("not-leader")
-            return messages.LeaseResponse(0, runner.leader_address, [], 0)
-        now = self.now()
-        self.liveness.record_entry(request.entry, now)
-        ttl_ms = int((leases.LEASE_SECONDS - (now - confirmed_at)) * 1000)
-        if ttl_ms <= 0:
-            return messages.LeaseResponse(0, "", [], 0)
-        holder = f"{request.entry.name}/{request.entry.started_ms}"
-        lender = runner.lending.lender
-        if not request.entry.is_serving and not request.demands:
-            lender.release(holder, now)
-        limits = self._limits()
-        shares = [
-            lending.lend(
-                lender,
-                holder,
-                demand,
-                limits.get(demand.resource, ZERO_LIMIT),
-                now,
-            )
-            for demand in self._valid_demands(request)
-        ]
-        if request.is_complete:
-            lender.record_report(request.entry.name, now)
-        is_recovering = lender.is_recovering(now)
-        self.metrics.renewals.add("learning" if is_recovering else "lent")
-        scarce = lender.scarce_resources(limits, now)
-        term = runner.replica.hard_state.term
-        return messages.LeaseResponse(
-            ttl_ms,
-            "",
-            shares,
-            0,
-            scarce,
-            is_recovering,
-            self.board.answer(request.observed, term, now),
-        )
-
-    def _valid_demands(
-        self, request: controlmessages.Renew
-    ) -> list[messages.ResourceDemand]:
-        valid: list[messages.ResourceDemand] = []
-        for demand in request.demands:
-            if controlmessages.is_valid_demand(demand):
-                valid.append(demand)
-            else:
-                self.log.emit_often(
-                    "demand-refused",
-                    entry=request.entry.name,
-                    resource=demand.resource,
-                )
-        return valid
-
-    def _limits(self) -> dict[str, leases.Limit]:
-        """Returns the fleet-wide limit of each limited workspace, by name.
-
-        The burst of each limit includes the part of the permitted overdraft
-        that is lent.
-        """
-        index = self.applied_registry.index
-        if index != self._limits_index:
-            self._limits_index = index
-            self._cached_limits = {
-                name: self._limit_of(item.body)
-                for (_, name), item in self.applied_registry.items.items()
-                if isinstance(item.body, items.Workspace) and item.body.rate > 0
-            }
-        return self._cached_limits
-
-    def _limit_of(self, workspace: items.Workspace) -> leases.Limit:
-        limit = leases.Limit(workspace.rate, workspace.burst)
-        overdraft = self.settings.tolerance.max_overdraft(limit)
-        limit.burst += LENT_OVERDRAFT_RATIO * overdraft
-        return limit
-
 
 async def open_vm(
     settings: Settings, log: events.EventLog, peer_client: peers.Client
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -124,7 +124,9 @@
         """
         self._check_crashes(active_call)
         while not active_call.deliveries:
-            if active_call.needs_helper or self._is_out_of_reach(active_call):
+            if active_call.needs_helper or self.reach_watch.is_out_of_reach(
+                active_call.service
+            ):
                 active_call.needs_helper = True
                 raise errors.refuse(
                     errors.Kind.NO_ROOM, "this VM reaches no upstream"
@@ -160,16 +162,9 @@
         return (
             active_call.needs_helper
             or active_call.connect_failures >= MAX_OWN_CONNECT_FAILURES
-            or self._is_out_of_reach(active_call)
+            or self.reach_watch.is_out_of_reach(active_call.service)
         )
 
-    def _is_out_of_reach(self, active_call: calls.ActiveCall) -> bool:
-        """Returns whether this VM seems to have no way to any upstream."""
-        reach = self.reach_watch.services.get(active_call.service)
-        if reach is None or not reach.is_unreached:
-            return False
-        return not reach.has_live_connections(self.now())
-
     async def _relay(self, active_call: calls.ActiveCall) -> calls.Reply | None:
         """Has a call sent by another VM.
 
--- a/src/pollenseam/poolreach.py
+++ b/src/pollenseam/poolreach.py
@@ -58,10 +58,3 @@
         now = self.now()
         reaches = self.services.items()
         return sorted(path for path, reach in reaches if reach.is_cut_off(now))
-
-    def is_out_of_reach(self, service: str) -> bool:
-        """Returns whether this VM seems to have no way to any upstream."""
-        reach = self.services.get(service)
-        if reach is None or not reach.is_unreached:
-            return False
-        return not reach.has_live_connections(self.now())
--- a/src/pollenseam/reachwatch.py
+++ b/src/pollenseam/reachwatch.py
@@ -140,6 +140,13 @@
         now = self.now()
         return any(r.is_cut_off(now) for r in self.services.values())
 
+    def is_out_of_reach(self, service: str) -> bool:
+        """Returns whether this VM seems to have no way to any upstream."""
+        reach = self.services.get(service)
+        if reach is None or not reach.is_unreached:
+            return False
+        return not reach.has_live_connections(self.now())
+
     # Suspicion.
 
     @contextlib.asynccontextmanager
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from pollenseam import buckets
-from pollenseam import controlvm
 from pollenseam import leases
 from pollenseam import overdrafts
+from pollenseam import renewals
 from pollenseam import shares
 
 RATE = 10.0
@@ -213,7 +213,7 @@
     max_overdraft = tolerance.max_overdraft(rate)
     lent_limit = leases.Limit(rate.rate, rate.burst + 0.4 * max_overdraft)
     lender = leases.Lender(
-        0.0, controlvm.IDLE_SPARE_RATIO, controlvm.BUSY_SPARE_RATIO
+        0.0, renewals.IDLE_SPARE_RATIO, renewals.BUSY_SPARE_RATIO
     )
     holders = [f"v{n}" for n in range(11)]
     accounts = {name: buckets.Account(0.0) for name in holders}
@@ -258,7 +258,7 @@
     max_overdraft = tolerance.max_overdraft(rate)
     lent_limit = leases.Limit(rate.rate, rate.burst + 0.4 * max_overdraft)
     lender = leases.Lender(
-        0.0, controlvm.IDLE_SPARE_RATIO, controlvm.BUSY_SPARE_RATIO
+        0.0, renewals.IDLE_SPARE_RATIO, renewals.BUSY_SPARE_RATIO
     )
     holders = [f"v{n}" for n in range(11)]
     accounts = {name: buckets.Account(0.0) for name in holders}
@@ -308,13 +308,13 @@
             self.limit
         )
         self.lent_limit = leases.Limit(
-            rate, rate + controlvm.LENT_OVERDRAFT_RATIO * max_overdraft
+            rate, rate + renewals.LENT_OVERDRAFT_RATIO * max_overdraft
         )
         self.max_overdraft = max_overdraft
         self.lender = leases.Lender(
-            0.0, controlvm.IDLE_SPARE_RATIO, controlvm.BUSY_SPARE_RATIO
+            0.0, renewals.IDLE_SPARE_RATIO, renewals.BUSY_SPARE_RATIO
         )
-        self.lender.min_share_burst = controlvm.MIN_SHARE_BURST
+        self.lender.min_share_burst = renewals.MIN_SHARE_BURST
         self.tables = [buckets.LeaseTable() for _ in range(vms)]
         for table in self.tables:
             table.set_resources(["w"], 0.0)
@@ -336,9 +336,9 @@
     def _fail_over(self, now: float) -> None:
         ended = self.outage[0] + leases.LEASE_SECONDS + leases.DRIFT_SECONDS
         self.lender = leases.Lender(
-            ended, controlvm.IDLE_SPARE_RATIO, controlvm.BUSY_SPARE_RATIO
+            ended, renewals.IDLE_SPARE_RATIO, renewals.BUSY_SPARE_RATIO
         )
-        self.lender.min_share_burst = controlvm.MIN_SHARE_BURST
+        self.lender.min_share_burst = renewals.MIN_SHARE_BURST
         self.lender.expect_reports(
             f"v{index}" for index in range(len(self.tables))
         )
