Tests: requests about many objects to all entry VMs, sent in one place

send_evenly stood in two test files. Tried beside it and dropped: the common part of both programs' starts in platform/program.py as one function; it took seven arguments and made the file longer.

--- a/tests/machines.py
+++ b/tests/machines.py
@@ -411,6 +411,26 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def send_evenly(self, seconds, per_second):
+        """Sends requests about many objects to all entry VMs in turn.
+
+        Returns:
+            The statuses, in the order of sending.
+        """
+        requests = []
+        for number in range(int(seconds * per_second)):
+            requests.append(
+                asyncio.create_task(
+                    self.request(
+                        f"/a/{number}",
+                        entry_index=number % len(self.entry_vms),
+                        headers={"Cookie": f"X-Affinity-Key={number % 24}"},
+                    )
+                )
+            )
+            await asyncio.sleep(1 / per_second)
+        return [status for status, _, _ in await asyncio.gather(*requests)]
+
 
 def initial_patch(version=1, keys=("k1",), services=("s1",), **overrides):
     """Returns a patch: one workspace, limits, services and two routes.
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -1,7 +1,5 @@
 """Request rates that upstreams state in their responses."""
 
-import asyncio
-
 import machines
 import pytest
 
@@ -55,7 +53,7 @@
                 )
             limited = await cluster.add_server("i-1")
             limited.reply_headers["Server-Limit"] = "1.5"
-            statuses = await send_evenly(cluster, seconds=7.0, per_second=30)
+            statuses = await cluster.send_evenly(seconds=7.0, per_second=30)
     logs = [vm.read_log() for vm in cluster.entry_vms]
     assert all(shares_of_limits(log, "i-1") for log in logs)
     first = limited.arrived_at[0]
@@ -82,22 +80,5 @@
     return (await cluster.request(entry_index=entry_index))[0] == 200
 
 
-async def send_evenly(cluster, seconds, per_second):
-    """Sends requests about many objects to all entry VMs in turn."""
-    requests = []
-    for number in range(int(seconds * per_second)):
-        requests.append(
-            asyncio.create_task(
-                cluster.request(
-                    f"/a/{number}",
-                    entry_index=number % len(cluster.entry_vms),
-                    headers={"Cookie": f"X-Affinity-Key={number % 24}"},
-                )
-            )
-        )
-        await asyncio.sleep(1 / per_second)
-    return [status for status, _, _ in await asyncio.gather(*requests)]
-
-
 def most_within(times, seconds):
     return max(sum(t <= other < t + seconds for other in times) for t in times)
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -1,6 +1,5 @@
 """Upstreams that say in responses that they leave, or ask for a pause."""
 
-import asyncio
 import time
 
 import machines
@@ -25,23 +24,6 @@
     return len(server.arrived_at) > before
 
 
-async def send_evenly(cluster, seconds, per_second=40):
-    """Sends requests about many objects to all entry VMs in turn."""
-    requests = []
-    for number in range(int(seconds * per_second)):
-        requests.append(
-            asyncio.create_task(
-                cluster.request(
-                    f"/a/{number}",
-                    entry_index=number % len(cluster.entry_vms),
-                    headers={"Cookie": f"X-Affinity-Key={number % 24}"},
-                )
-            )
-        )
-        await asyncio.sleep(1 / per_second)
-    return [status for status, _, _ in await asyncio.gather(*requests)]
-
-
 async def test_an_upstream_that_says_it_leaves_gets_no_more_requests(tmp_path):
     """Guards against requests to an upstream that has said that it leaves.
 
@@ -59,7 +41,7 @@
             leaving.reply_headers["Server-Leaving"] = "1"
             assert await is_served_by(cluster, 0, leaving)
             heard_at = leaving.arrived_at[-1]
-            statuses = await send_evenly(cluster, seconds=5.0)
+            statuses = await cluster.send_evenly(seconds=5.0, per_second=40)
             late = [
                 t for t in leaving.arrived_at if t > heard_at + DRAIN_SECONDS
             ]
@@ -90,7 +72,7 @@
             busy.reply_headers |= {"X-Not-Run": "1", "Retry-After": "2.5"}
             busy.arrived_at.clear()
             busy.arrived_paths.clear()
-            await send_evenly(cluster, seconds=8.0)
+            await cluster.send_evenly(seconds=8.0, per_second=40)
     assert busy.arrived_at
     for entry_index in range(3):
         times = arrivals_from(busy, entry_index, len(cluster.entry_vms))
