--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -27,6 +27,7 @@
 from pollenseam import metrics
 from pollenseam import observations
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import proposer
 from pollenseam import registry
 from pollenseam import registrysync
@@ -144,7 +145,7 @@
         self.unreported_ids: set[str] = set()
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
-        self.server = peers.Server(log.clock, peer_client.traffic, log=log)
+        self.server = peerserver.Server(log.clock, peer_client.traffic, log=log)
         self.supervisor = datafolder.Supervisor(
             settings.data_folder, settings.name, self._create_runner, log
         )
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -30,6 +30,7 @@
 from pollenseam import messages
 from pollenseam import operators
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import relayedexchanges
 from pollenseam import relayhelper
 from pollenseam import relaymessages
@@ -97,7 +98,7 @@
         )
         relayed = relayedexchanges.RelayedExchanges(self.vm, self.forwarder)
         read_credentials = self.tls.credentials if self.tls else None
-        self.server = peers.Server(
+        self.server = peerserver.Server(
             log.clock, self.peers.traffic, read_credentials, log
         )
         # Of the pools, only whether there are upstreams is used.
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -20,6 +20,7 @@
 from pollenseam import overdrafts
 from pollenseam import pacing
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import registryfollower
@@ -200,7 +201,7 @@
             self.pools,
             self.now,
             self._lends_until,
-            peers.Server(log.clock, peer_client.traffic, log=log),
+            peerserver.Server(log.clock, peer_client.traffic, log=log),
             log,
         )
         self.is_leaving = False
--- a/src/pollenseam/relayhelper.py
+++ b/src/pollenseam/relayhelper.py
@@ -10,6 +10,7 @@
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import relaymessages
 from pollenseam import steering
 
@@ -62,7 +63,7 @@
         pools: Mapping[str, steering.Pool],
         now: Callable[[], float],
         lends_until: Callable[[], float],
-        server: peers.Server,
+        server: peerserver.Server,
         log: events.EventLog,
     ) -> None:
         self.dispatcher = call_dispatcher
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -21,7 +21,7 @@
 from pollenseam import journal
 from pollenseam import leases
 from pollenseam import messages
-from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import tasks
 from pollenseam import traffic
 from pollenseam import vm
@@ -98,7 +98,7 @@
 
 
 class Server:
-    """Stands in for `peers.Server`."""
+    """Stands in for `peerserver.Server`."""
 
     def __init__(self, network):
         self.network = network
@@ -255,7 +255,7 @@
         monkeypatch.setattr(vm, "boot_seconds", loop_time)
         monkeypatch.setattr(files, "os", self.faulty_os)
         monkeypatch.setattr(
-            peers, "Server", lambda *_, **__: Server(self.network)
+            peerserver, "Server", lambda *_, **__: Server(self.network)
         )
         monkeypatch.setattr(journal.secrets, "token_hex", lambda _: next(ids))
         monkeypatch.setattr(controlvm.time, "time_ns", lambda: next(seeds))
--- a/tests/test_exchangerelay.py
+++ b/tests/test_exchangerelay.py
@@ -11,7 +11,7 @@
 from pollenseam import events
 from pollenseam import exchangerelay
 from pollenseam import messages
-from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import relaying
 from pollenseam import relaymessages
 from pollenseam import traffic
@@ -210,7 +210,7 @@
     """Guards against requests lost at an older daemon, or in other regions."""
     async with cut_off(tmp_path) as (bench, _):
         port = fleet.free_port()
-        older = peers.Server(events.LogicalClock(), traffic.Traffic())
+        older = peerserver.Server(events.LogicalClock(), traffic.Traffic())
         await older.start(f"127.0.0.1:{port}")
         add_vm(bench, "older", port)
         far = test_relaying.ScriptedHelper(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,13 +11,14 @@
 from pollenseam import events
 from pollenseam import messages
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import traffic
 from pollenseam.standins import fleet
 
 
 async def start_server(address, received):
     clock = events.LogicalClock()
-    server = peers.Server(clock, traffic.Traffic())
+    server = peerserver.Server(clock, traffic.Traffic())
     server.handle_stream(peers.DELIVER, received.append)
 
     async def answer(request):
@@ -119,7 +120,7 @@
     address = f"127.0.0.1:{fleet.free_port()}"
     stream = io.StringIO()
     log = events.open_log("v1", stream=stream)
-    server = peers.Server(log.clock, traffic.Traffic(), log=log)
+    server = peerserver.Server(log.clock, traffic.Traffic(), log=log)
 
     async def answer(request):
         outcome = b"x" * (traffic.LARGE_RESPONSE_BYTES + 1)
@@ -141,7 +142,7 @@
 async def test_a_response_in_parts_has_the_size_limit_of_a_message(monkeypatch):
     """Guards against a source whose response has no end."""
     address = f"127.0.0.1:{fleet.free_port()}"
-    server = peers.Server(events.LogicalClock(), traffic.Traffic())
+    server = peerserver.Server(events.LogicalClock(), traffic.Traffic())
     outcome = b"x" * (3 * peers.PART_BYTES)
 
     async def answer(request):
@@ -170,7 +171,7 @@
     """
     for _ in range(STOP_ROUNDS):
         address = f"127.0.0.1:{fleet.free_port()}"
-        server = peers.Server(events.LogicalClock(), traffic.Traffic())
+        server = peerserver.Server(events.LogicalClock(), traffic.Traffic())
         client = peers.Client(events.LogicalClock())
         stops = []
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -14,6 +14,7 @@
 from pollenseam import helpers
 from pollenseam import helperwatch
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import registry
 from pollenseam import relayhelper
 from pollenseam import relaying
@@ -48,7 +49,9 @@
         self.received = []
         self.cancelled = 0
         self.is_frozen = False
-        self.server = peers.Server(events.LogicalClock(), traffic.Traffic())
+        self.server = peerserver.Server(
+            events.LogicalClock(), traffic.Traffic()
+        )
 
     async def start(self):
         port = fleet.free_port()
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -19,6 +19,7 @@
 from pollenseam import follower
 from pollenseam import freshness
 from pollenseam import peers
+from pollenseam import peerserver
 from pollenseam import settings
 from pollenseam import traffic
 from pollenseam import tree
@@ -80,7 +81,7 @@
     )
     # The replica does not run; its state is as current as a leader's.
     monkeypatch.setattr(control_vm, "age_ms", lambda: 0)
-    server = peers.Server(log.clock, traffic.Traffic())
+    server = peerserver.Server(log.clock, traffic.Traffic())
     server.handle(controlmessages.WATCH, control_vm._answer_watch)
     await server.start(address)
     link = slowlink.SlowLink(address, BYTES_PER_SECOND)
@@ -188,7 +189,7 @@
     address = f"127.0.0.1:{fleet.free_port()}"
     log = events.open_log("c1", stream=io.StringIO())
     source = follower.Follower(vm_with(large_tree(), None))
-    server = peers.Server(log.clock, traffic.Traffic())
+    server = peerserver.Server(log.clock, traffic.Traffic())
     server.handle_in_parts(peers.FETCH, source.answer_fetch)
     await server.start(address)
     link = slowlink.SlowLink(address, BYTES_PER_SECOND)
