--- a/tests/test_controlvm.py
+++ b/tests/test_controlvm.py
@@ -63,7 +63,7 @@
         request = controlmessages.Renew(
             entry(name), [demand], is_complete=is_complete
         )
-        return await control_vm._answer_renew(request)
+        return await control_vm.renewals.answer(request)
 
     assert (await renew("e1", True)).is_recovering
     assert (await renew("e2", False)).is_recovering
@@ -127,7 +127,7 @@
     async def share_of(name, rate):
         demand = messages.ResourceDemand("w", 0.0, 0.0, rate)
         request = controlmessages.Renew(entry(name), [demand])
-        return (await control_vm._answer_renew(request)).shares
+        return (await control_vm.renewals.answer(request)).shares
 
     [alone] = await share_of("e1", 5.0)
     for rate in (math.nan, math.inf, -math.inf, 1e308, -5.0):
