--- a/tests/test_reachwatch.py
+++ b/tests/test_reachwatch.py
@@ -76,8 +76,8 @@
 async def test_slow_upstreams_are_no_cut(refusing_count):
     """Guards against calls that are taken from healthy, slow upstreams.
 
-    Two upstreams answer after 2.9 s. The others refuse connects, or there are no
-    others, so that the service is slow for everybody.
+    Two upstreams answer after 2.9 s. The others refuse connects, or there are
+    no others, so that the service is slow for everybody.
     """
     answer = test_relaying.answering(test_relaying.replied(200))
     slow = [await SlowUpstream(2.9).listen() for _ in range(2)]
