--- a/tests/test_disks_in_turn.py
+++ b/tests/test_disks_in_turn.py
@@ -121,3 +121,67 @@
 
     simulation.run(play(), seed)
     assert not fleet.ended_tasks
+
+
+def test_a_disk_that_is_back_leaves_no_learner_behind(tmp_path, monkeypatch):
+    """Guards against a learner that no VM runs and the leader feeds for ever.
+
+    A VM starts without its disk, asks to be taken in under a new id, and then
+    starts with its disk, whose replica is still a voter.
+    """
+    monkeypatch.setattr(simulation, "POLL_SECONDS", 0.0005)
+    fleet = simulation.Fleet(tmp_path, 1, DOMAINS["three"])
+    fleet.patch_modules(monkeypatch)
+
+    async def main():
+        fleet.start()
+        await fleet.wait_until(fleet.is_whole, RECOVERY_SECONDS)
+        [leader] = fleet.leaders()
+        machine = next(m for m in fleet.vms if m is not leader)
+        await machine.kill()
+        disk = machine.disk
+        machine.disk = fakedisks.Disk(tmp_path / "other", 1)
+        fleet.faulty_os.disks.append(machine.disk)
+        machine.start()
+        core = leader.control.replica_runner.replica
+        await fleet.wait_until(lambda: core.members.learners, RECOVERY_SECONDS)
+        await machine.kill()
+        machine.disk = disk
+        machine.start()
+        await fleet.wait_until(fleet.is_whole, RECOVERY_SECONDS)
+        await fleet.stop()
+
+    simulation.run(main(), 1)
+
+
+@pytest.mark.parametrize("layout", ["shared-domains", "one-domain-each"])
+def test_two_disks_lost_beside_a_vm_that_was_off_are_no_end(
+    tmp_path, monkeypatch, layout
+):
+    """Guards against a quorum of five that two lost disks end for good.
+
+    A VM that is off for some seconds was taken out, as its failure domain has
+    another voter: of four voters two are no majority, though with the VM that
+    returns three of five disks are left.
+    """
+    fleet = simulation.Fleet(tmp_path, 1, DOMAINS[layout][:5])
+    fleet.patch_modules(monkeypatch)
+
+    async def main():
+        fleet.start()
+        await fleet.wait_until(fleet.is_whole, RECOVERY_SECONDS)
+        # The leader hears where each VM is.
+        await asyncio.sleep(2.0)
+        assert await fleet.change()
+        await fleet.vms[0].kill()
+        await asyncio.sleep(8.0)
+        for machine in fleet.vms[1:3]:
+            await machine.kill()
+            machine.disk.wipe()
+        for machine in fleet.vms[:3]:
+            machine.start()
+        await fleet.wait_until(fleet.is_whole, RECOVERY_SECONDS)
+        await fleet.wait_until(fleet.has_what_was_acknowledged, 1.0)
+        await fleet.stop()
+
+    simulation.run(main(), 1)
