--- a/tests/test_daemon_statements.py
+++ b/tests/test_daemon_statements.py
@@ -6,6 +6,8 @@
 import harness
 import pytest
 
+SERVICE = "/teams/t/services/svc"
+
 
 @pytest.fixture
 async def bench(tmp_path):
@@ -87,3 +89,52 @@
     stand_in.running = 0
     assert await statuses(bench, 1) == [200]
     assert "event=pause-invalid" in "".join(bench.log.lines)
+
+
+async def test_what_an_earlier_start_says_is_not_held_against_the_new_one(
+    bench,
+):
+    """Guards against a new start that gets nothing until it starts again.
+
+    The earlier start answers, while it leaves, after the new one is announced.
+    """
+    old = await bench.add_upstream("u1")
+    old.state = "leaving"
+    slow = {"X-Work-Ms": "300"}
+    last = asyncio.create_task(bench.request("POST", headers=slow).__aenter__())
+    await bench.until(lambda: old.running)
+    new = await bench.add_upstream("u2")
+    address = bench.daemon.vm.pool(SERVICE).upstreams["u2"].record.address
+    bench.announce("u2", address, "r1", new, state="gone", beat=2)
+    bench.announce("u1", address, "r1", new, incarnation=2)
+    async with await last as response:
+        assert response.status == 200
+    assert set(await statuses(bench, 5)) == {200}
+    assert new.total == 5
+
+
+async def test_no_request_waits_where_all_upstreams_pause_for_longer(bench):
+    """Guards against callers held for a slot that cannot come in time.
+
+    Others wait already: those must not hide the pause from the next one.
+    """
+    stand_in = await bench.add_upstream("u1", slots=1, pause="20")
+    first = {"X-Work-Ms": "400"}
+    running = asyncio.create_task(
+        bench.request("POST", headers=first).__aenter__()
+    )
+    await bench.until(lambda: stand_in.running)
+    waiting = asyncio.create_task(statuses(bench, 1))
+    queues = bench.daemon.admission.queues
+    await bench.until(lambda: SERVICE in queues and queues[SERVICE].count)
+    local_vm = bench.daemon.vm
+    local_vm.fleet_view.statements.record_pause(
+        f"{SERVICE}/u1", 1, 20.0, local_vm.now()
+    )
+    started_at = time.monotonic()
+    async with bench.request("POST") as response:
+        assert response.status == 503
+        assert "asked for a pause" in (await response.json())["detail"]
+    assert time.monotonic() - started_at < 0.3
+    assert await waiting == [503]
+    (await running).close()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -165,3 +165,12 @@
     for _ in range(100):
         budget.deposit(0.1)
     assert 9 <= sum(budget.try_spend() for _ in range(100)) <= 10
+
+
+def test_one_that_was_out_of_reach_is_tried_while_all_others_pause():
+    """Guards against callers held although an upstream may be chosen."""
+    pool = pool_of(known("a"), known("b"))
+    pool.upstreams["b"].record_unreachable(NOW)
+    paused = pool.upstreams["a"].record
+    pool.statements.record_pause(paused.path, paused.incarnation, 60.0, NOW)
+    assert choose(pool) == "b"
