--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -5,6 +5,14 @@
 
 import machines
 import pytest
+import scripted
+import test_relaying
+import test_rogue_upstreams
+
+from pollenseam import crashwatch
+from pollenseam import errors
+from pollenseam import relaymessages
+from pollenseam import upstreamstatements
 
 # Time after which no VM sends to an upstream that has said that it leaves.
 DRAIN_SECONDS = 2.5
@@ -163,3 +171,51 @@
 
 async def has_status_200(cluster):
     return (await cluster.request())[0] == 200
+
+
+@pytest.mark.parametrize("seconds", [0.1 + 0.2, 2 / 3, 5 / 7 + 3.0])
+def test_a_fraction_in_full_precision_is_a_pause(seconds):
+    """Guards against pauses that are ignored for their many decimals."""
+    assert upstreamstatements.parse_pause(str(seconds)) == seconds
+
+
+def test_the_end_of_an_upstream_that_said_it_leaves_is_no_crash():
+    """Guards against requests that are blocked for ends that were planned."""
+    vm = test_rogue_upstreams.make_entry_vm("127.0.0.1:1")
+    vm.fleet_view.statements.record_leaving("i1", 1, vm.now())
+    start = crashwatch.UpstreamStart("i1", 1, "s1", "127.0.0.1:1")
+    assert vm.dispatcher.sender.crash_watch.is_leaving(start)
+
+
+async def test_a_relayed_response_that_says_leaving_counts_here_too():
+    """Guards against requests from a VM that passed on that answer.
+
+    It is cut off from control VMs too, so that nobody else tells it.
+    """
+    headers = [(b"X-Request-Id", b"q1"), (b"Server-Leaving", b"1")]
+    reply = relaymessages.RelayedReply(200, b"OK", headers, b"")
+    answer = test_relaying.answering(
+        relaymessages.RelayResponse("replied", reply, None, "i1", 1)
+    )
+    async with test_relaying.cut_off_vm(answer) as (vm, _):
+        assert (await test_relaying.serve(vm)).status == 200
+        assert vm.fleet_view.statements.is_over("i1", 1)
+
+
+@pytest.mark.parametrize(("pause", "least"), [("0.4", 0.0), ("20", 10.0)])
+async def test_a_call_that_was_turned_away_is_told_when_the_pause_ends(
+    pause, least
+):
+    """Guards against a Retry-After that has nothing to do with the pauses."""
+    answer = scripted.answer(
+        "503 Busy", "X-Request-Id: q1", "X-Not-Run: 1", f"Retry-After: {pause}"
+    )
+    upstream = scripted.ScriptedUpstream([answer])
+    await upstream.listen()
+    vm = test_rogue_upstreams.make_entry_vm(upstream.address)
+    refusal = await test_relaying.serve(vm)
+    await vm.dispatcher.close()
+    upstream.close()
+    assert (refusal.kind, refusal.executed) == (errors.Kind.NO_ROOM, "no")
+    assert refusal.retry_after is not None
+    assert least < refusal.retry_after <= float(pause)
