--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -557,3 +557,16 @@
         assert len(waited) == 3
         assert max(waited[:2]) <= relaying.CONNECT_SECONDS
         assert relaying.LAST_CONNECT_SECONDS >= waited[2] > 0.5
+
+
+async def test_no_call_that_may_run_once_is_left_to_a_silent_helper():
+    """Guards against callers held by a helper that is known to be frozen.
+
+    They could be told at once that their call was not run.
+    """
+    async with cut_off_vm(never_answers) as (entry_vm, [helper]):
+        helper.is_frozen = True
+        await serve(entry_vm, seconds=2.0)
+        assert entry_vm.relayer.helpers.is_avoided("h0", entry_vm.now())
+        refusal = await serve(entry_vm, seconds=2.0)
+        assert (refusal.kind, refusal.executed) == (errors.Kind.NO_ROOM, "no")
