--- a/src/pollenseam/upstreamstatements.py
+++ b/src/pollenseam/upstreamstatements.py
@@ -27,7 +27,8 @@
 # upstream, as the record may still be on its way.
 RETAIN_SECONDS = 10.0
 
-_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?", re.ASCII)
+# Floating-point numbers are written with up to 17 significant digits.
+_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,24})?", re.ASCII)
 
 
 class Statement(msgspec.Struct, array_like=True):
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -14,7 +14,10 @@
     assert upstreamstatements.parse(text) is None
 
 
-@pytest.mark.parametrize("text, rate", [("0", 0), ("1.2", 1.2), (" 40 ", 40)])
+@pytest.mark.parametrize(
+    "text, rate",
+    [("0", 0), ("1.2", 1.2), (" 40 ", 40), (str(0.1 + 0.2), 0.1 + 0.2)],
+)
 def test_a_decimal_number_is_a_limit(text, rate):
     assert upstreamstatements.parse(text) == rate
 
