BUDGET: a call that is turned away is told when the pause ends

Found in review: the call that hears of a pause, and finds no other upstream, was told to come back in 1 s, however long or short the pause is; with 0.4 s it was told too long, with 20 s it met a refusal again. Cause: the upstreams that a call tried were left out of what it may wait for. Change: they count for Retry-After.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -326,10 +326,14 @@
     ) -> errors.RefusedError:
         """Returns the refusal of a call that no upstream may get now."""
         pool = active_call.pool
-        wait = pool.seconds_until_admitted(active_call.requirements(), now)
+        required = active_call.requirements()
+        wait = pool.seconds_until_admitted(required, now)
         if wait is None:
+            # Those that it tried may have asked for a pause.
+            wait = pool.seconds_until_next(required, now) or NO_UPSTREAM_SECONDS
+            which = "other upstream" if active_call.tried else "upstream"
             return self._final_refusal(
-                active_call, "no upstream is serving", NO_UPSTREAM_SECONDS
+                active_call, f"no {which} is serving", wait
             )
         statements = pool.statements
         why = (
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -263,11 +263,38 @@
 
         The result is None if none will, as far as this VM knows.
         """
-        waits = [
-            self.seconds_until_allowed(upstream, required, now)
+        untried = [
+            upstream
             for upstream in self.upstreams.values()
             if self._is_allowed(upstream, required)
         ]
+        return self._first_wait(untried, required, now)
+
+    def seconds_until_next(
+        self, required: requirements.Requirements, now: float
+    ) -> float | None:
+        """Returns the time until a call that was turned away may come back.
+
+        Counts the upstreams that it tried as well; see
+        `seconds_until_admitted`.
+        """
+        allowed = [
+            upstream
+            for upstream in self.upstreams.values()
+            if not required.regions or upstream.region in required.regions
+        ]
+        return self._first_wait(allowed, required, now)
+
+    def _first_wait(
+        self,
+        candidates: Iterable[upstreamstats.UpstreamStats],
+        required: requirements.Requirements,
+        now: float,
+    ) -> float | None:
+        waits = [
+            self.seconds_until_allowed(upstream, required, now)
+            for upstream in candidates
+        ]
         return min((wait for wait in waits if wait is not None), default=None)
 
     def choose(
