Options of an entry VM: numbers with bounds, from the settings file or the environment

The parts that follow (body memory, hedges, admission) each need a number that an operator sets and may change under load.

--- /dev/null
+++ b/src/pollenseam/entryoptions.py
@@ -0,0 +1,5 @@
+"""The options of an entry VM, of all its parts."""
+
+from pollenseam import options
+
+ALL: tuple[options.Option, ...] = ()
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -18,6 +18,7 @@
 from pollenseam import links
 from pollenseam import metrics
 from pollenseam import observations
+from pollenseam import options
 from pollenseam import overdrafts
 from pollenseam import pacing
 from pollenseam import peers
@@ -60,6 +61,7 @@
             of other entry VMs; 0 if it doesn't.
         link_bytes_per_second: Rate of this VM's network link in each
             direction; 0 if it is not limited.
+        options: Options that the operator set.
     """
 
     __slots__ = (
@@ -76,6 +78,7 @@
         "tolerance",
         "relay_port",
         "link_bytes_per_second",
+        "options",
     )
 
     def __init__(
@@ -93,6 +96,7 @@
         tolerance: leases.Tolerance,
         relay_port: int = 0,
         link_bytes_per_second: float = 0.0,
+        entry_options: options.Options | None = None,
     ) -> None:
         self.name = name
         self.region = region
@@ -107,6 +111,7 @@
         self.tolerance = tolerance
         self.relay_port = relay_port
         self.link_bytes_per_second = link_bytes_per_second
+        self.options = entry_options or options.Options()
 
 
 class EntryVm:
@@ -114,6 +119,7 @@
 
     Attributes:
         settings: Start-up settings.
+        options: Options in force, shared with the parts of this VM.
         log: Event log.
         peers: Client for calls to other VMs.
         now: Returns the time since boot in seconds.
@@ -147,6 +153,7 @@
         protocol: calls.UpstreamProtocol,
     ) -> None:
         self.settings = settings
+        self.options = settings.options
         self.log = log
         self.peers = peer_client
         self.now = vm.boot_seconds
@@ -232,6 +239,7 @@
     def reload(self, settings: Settings) -> None:
         """Replaces the settings of a running VM."""
         self.settings = settings
+        self.options.adopt(settings.options)
         self.follower.place = _place(settings)
 
     def _upstream_addresses(self, service: str) -> dict[str, str]:
