Check-ins and orders on evacuations prove their place before they are appended

One of a service that does not stand, or at another's address, marked the sound upstream as stopped for good, and later check-ins of it were acknowledged as heartbeats.

- succession: what a record must prove.
A start keeps its service and address; a new start needs a known service and an address at which nobody has announced itself in the last two intervals; a stop of an unknown start ends none that goes on.
The leader decides before it appends, so the state machine stays as it is and replicas of the build in production apply the same log in the same way.
- What is not used is answered so (404, 409) and logged (upstream-refused), heartbeats too: one of an earlier or stopped start no longer gets 200 nor extends a deadline.
- A proposal whose caller has gone is not appended.
SetEvacuation carries the index that a leader confirmed at its arrival (appended field, -1 by default); the leader answers 503 to one that is older than the latest order for its failure domain.
- ControlVm.announce, leave and evacuate heed the outcome that the leader returned.
- A VM whose disk failed asks another voter for the confirmed index, as it does for commands.

--- a/src/pollenseam/commands.py
+++ b/src/pollenseam/commands.py
@@ -5,12 +5,16 @@
 
 import msgspec
 
+from pollenseam import bounds
 from pollenseam import errors
 from pollenseam import items
 from pollenseam import registry
 from pollenseam import settings
 from pollenseam import validity
 
+# Stands for an index of the log that is not known.
+NO_INDEX = -1
+
 
 class Command(msgspec.Struct, tag=True, array_like=True):
     """Base of every command."""
@@ -167,10 +171,19 @@
 
 
 class SetEvacuation(Command, tag="evacuate"):
-    """Starts or ends the evacuation of a failure domain."""
+    """Starts or ends the evacuation of a failure domain.
+
+    Attributes:
+        failure_domain: Name of the failure domain.
+        is_evacuated: Whether the evacuation starts.
+        arrived_index: Index up to which the VM that got the order had applied
+            the log when it arrived; NO_INDEX if that VM's build did not say.
+            The leader uses it before the order is appended.
+    """
 
     failure_domain: str
     is_evacuated: bool
+    arrived_index: int = NO_INDEX
 
 
 class RecordUpstreams(Command, tag="upstreams"):
@@ -271,6 +284,7 @@
     validity.check(
         registry.Evacuation(command.failure_domain, command.is_evacuated)
     )
+    bounds.check_number("index at the arrival", command.arrived_index, NO_INDEX)
 
 
 @check.register
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -34,6 +34,7 @@
 from pollenseam import replicarunner
 from pollenseam import reservekeeper
 from pollenseam import tasks
+from pollenseam import upstreamrecords
 from pollenseam import validity
 from pollenseam import vm
 
@@ -53,6 +54,9 @@
 # Age of the local state above which this VM refuses heartbeats of upstreams,
 # so that they announce to another control VM.
 LEADER_UNREACHABLE_SECONDS = 1.5
+# Time in which an order on an evacuation must find its place in the log, at
+# its arrival. Callers wait 1 s before they send it, or the opposite, elsewhere.
+ORDERING_SECONDS = 0.6
 # Time that calls of other VMs in progress get at a planned stop.
 CLOSE_SECONDS = 0.3
 
@@ -123,8 +127,7 @@
         renewals: Leases shares of rates to entry VMs; used by the leader.
         leader_duties: What this VM does while it leads.
         reserve_keeper: Lends tokens of rates while no leader does.
-        unreported_ids: Ids of upstreams that announced themselves to this VM
-            and are not yet reported to the leader.
+        upstream_records: Records what upstreams announce.
         changed: Event that is set, and replaced by a new one, when the
             registry changes.
         metrics: Counters of this VM.
@@ -144,7 +147,6 @@
         self.liveness = liveness.LivenessTracker(settings.announce_seconds)
         self.freshness = freshness.Freshness()
         self.board = observations.Board(self._log_block)
-        self.unreported_ids: set[str] = set()
         self.changed = asyncio.Event()
         self.metrics = metrics.ControlMetrics()
         self.server = peerserver.Server(log.clock, peer_client.traffic, log=log)
@@ -173,6 +175,12 @@
         self.proposer = proposer.Proposer(
             lambda: self.replica_runner, peer_client, self.now
         )
+        self.upstream_records = upstreamrecords.UpstreamRecords(
+            log,
+            self.proposer,
+            lambda: self.applied_registry,
+            self.is_leader_reachable,
+        )
         self._tasks = tasks.Group(log)
         self.leader_duties = leaderduties.LeaderDuties(
             log,
@@ -260,6 +268,7 @@
             time.time_ns(),
         )
         runner.on_applied = self._on_applied
+        runner.gate.is_announcing = self._is_announcing
         self.freshness = freshness.Freshness()
         self.log.emit(
             "replica-opened",
@@ -286,6 +295,14 @@
         finally:
             join_task.cancel()
 
+    def _is_announcing(self, id: str) -> bool:
+        """Whether an upstream announced itself lately, if this VM leads."""
+        term = self.replica_runner.replica.hard_state.term
+        if self.leader_duties.led_term != term:
+            # The deadlines are those of an earlier term.
+            return True
+        return self.liveness.is_announcing(id, self.now())
+
     def _on_applied(self) -> None:
         if self.applied_registry.index != self._index:
             for record in self.applied_registry.upstreams_after(self._index):
@@ -307,8 +324,8 @@
         self._log_members()
         if not self.replica_runner.is_leader:
             return
-        announced_ids = sorted(self.unreported_ids)
-        self.unreported_ids.clear()
+        announced_ids = sorted(self.upstream_records.unreported_ids)
+        self.upstream_records.unreported_ids.clear()
         self.leader_duties.do_once(announced_ids, self.now())
 
     def _log_block(self, fingerprint: bytes) -> None:
@@ -350,7 +367,7 @@
         address = runner.leader_address
         if not address:
             return
-        announced_ids = sorted(self.unreported_ids)
+        announced_ids = sorted(self.upstream_records.unreported_ids)
         request = controlmessages.Watch(
             -1, 0, self.directory.version, 0, self.own_record, announced_ids
         )
@@ -364,7 +381,7 @@
             )
         except errors.UnreachableError:
             return
-        self.unreported_ids.difference_update(announced_ids)
+        self.upstream_records.unreported_ids.difference_update(announced_ids)
         await self._handle_response(response, sent_at)
 
     async def _handle_response(
@@ -474,12 +491,24 @@
         """Starts or ends the evacuation of a failure domain.
 
         Raises:
-            RefusedError: The failure domain's name is out of bounds.
-            UnreachableError: The outcome is not known by `deadline`.
+            RefusedError: The failure domain's name is out of bounds, or the
+                leader refuses the order.
+            UnreachableError: The outcome is not known by `deadline`, or a
+                newer order for the failure domain may exist.
         """
-        command = commands.SetEvacuation(failure_domain, is_on)
+        validity.check(registry.Evacuation(failure_domain, is_on))
+        arrived_index = await self.proposer.confirmed_index(
+            min(deadline, self.now() + ORDERING_SECONDS)
+        )
+        command = commands.SetEvacuation(failure_domain, is_on, arrived_index)
         commands.check(command)
-        await self.proposer.submit(command, deadline)
+        outcome = await self.proposer.submit(command, deadline)
+        if outcome.kind == errors.Kind.CONFLICT:
+            # A refusal would be final for the caller; it sends the order again
+            # if it still wants it.
+            raise errors.UnreachableError(outcome.detail)
+        if outcome.kind:
+            raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
 
     async def announce(
         self, record: registry.Upstream, deadline: float
@@ -491,27 +520,13 @@
         the leader.
 
         Raises:
-            RefusedError: A value of the record is out of bounds.
+            RefusedError: A value of the record is out of bounds, or the record
+                is not used, see `succession`.
             UnreachableError: The announcement could not be recorded by
                 `deadline`, or it is a heartbeat and the leader is
                 unreachable.
         """
-        command = commands.RecordUpstreams([record])
-        commands.check(command)
-        if self.applied_registry.is_update(record):
-            await self.proposer.submit(command, deadline)
-            self.log.emit(
-                "upstream",
-                id=record.id,
-                state=record.state,
-                service=record.service,
-                address=record.address,
-                cold_ms=record.cold_ms,
-                sequence=record.sequence,
-            )
-        elif not self.is_leader_reachable():
-            raise errors.UnreachableError("the leader is unreachable")
-        self.unreported_ids.add(record.id)
+        await self.upstream_records.announce(record, deadline)
 
     async def leave(self, id: str, started_ms: int, deadline: float) -> None:
         """Records that an upstream has stopped.
@@ -524,20 +539,11 @@
             deadline: Time by which the record must be committed.
 
         Raises:
-            RefusedError: The id or the start is out of bounds.
+            RefusedError: The id or the start is out of bounds, or another
+                start goes on announcing itself.
             UnreachableError: The stop could not be recorded by `deadline`.
         """
-        validity.check(registry.ended_record(id, started_ms))
-        known = self.applied_registry.upstreams.get(id)
-        if known is None or not started_ms:
-            # This replica may not have applied the latest start yet.
-            await self.proposer.read_barrier(deadline)
-            known = self.applied_registry.upstreams.get(id)
-        record = registry.stop_record(id, started_ms, known)
-        if record is None or not self.applied_registry.is_update(record):
-            return
-        await self.proposer.submit(commands.RecordUpstreams([record]), deadline)
-        self.log.emit("upstream", id=id, state=record.state)
+        await self.upstream_records.leave(id, started_ms, deadline)
 
     async def read(self, deadline: float) -> registry.Snapshot:
         """Returns the registry with all changes acknowledged before the call.
@@ -576,7 +582,7 @@
             return messages.SubmitResponse(messages.encode(outcome), "", "", 0)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-                outcome = await runner.submit(command)
+                outcome = await runner.submit(command, is_guarded=True)
         except (errors.NotLeaderError, TimeoutError):
             return messages.SubmitResponse(b"", kind, runner.leader_address, 0)
         return messages.SubmitResponse(messages.encode(outcome), "", "", 0)
--- a/src/pollenseam/liveness.py
+++ b/src/pollenseam/liveness.py
@@ -11,6 +11,9 @@
 ENTRY_TIMEOUT_SECONDS = 2.5
 # Number of missed announcements after which an upstream expires.
 MISSED_ANNOUNCEMENTS = 4
+# Number of missed announcements up to which another upstream may not take its
+# address. One may be late by the time until it is reported to the leader.
+MISSED_BEFORE_REPLACEMENT = 2
 
 
 class LivenessTracker:
@@ -22,6 +25,8 @@
         upstream_deadlines: Time at which each upstream expires, by id.
         upstream_timeout: Seconds without an announcement after which an
             upstream expires.
+        replacement_timeout: Seconds without an announcement after which
+            another upstream may take the address.
     """
 
     __slots__ = (
@@ -29,6 +34,7 @@
         "entry_deadlines",
         "upstream_deadlines",
         "upstream_timeout",
+        "replacement_timeout",
     )
 
     def __init__(self, announce_seconds: float) -> None:
@@ -36,6 +42,7 @@
         self.entry_deadlines: dict[str, float] = {}
         self.upstream_deadlines: dict[str, float] = {}
         self.upstream_timeout = announce_seconds * MISSED_ANNOUNCEMENTS
+        self.replacement_timeout = announce_seconds * MISSED_BEFORE_REPLACEMENT
 
     def start_term(
         self, term: int, upstreams: Iterable[registry.Upstream], now: float
@@ -91,6 +98,17 @@
         for id in ids:
             self.upstream_deadlines[id] = now + self.upstream_timeout
 
+    def is_announcing(self, id: str, now: float) -> bool:
+        """Returns whether an upstream announced itself lately.
+
+        One that was just recorded may have no deadline yet.
+        """
+        deadline = self.upstream_deadlines.get(id)
+        if deadline is None:
+            return True
+        silent_since = deadline - self.upstream_timeout
+        return now - silent_since <= self.replacement_timeout
+
     def remove_expired(self, members: messages.Members, now: float) -> None:
         """Removes expired entry VMs, and control VMs outside the quorum."""
         expired = {n for n, d in self.entry_deadlines.items() if d <= now}
--- a/src/pollenseam/proposer.py
+++ b/src/pollenseam/proposer.py
@@ -68,7 +68,7 @@
         if runner.is_leader:
             with contextlib.suppress(errors.NotLeaderError, TimeoutError):
                 async with asyncio.timeout(seconds_left):
-                    return await runner.submit(command)
+                    return await runner.submit(command, is_guarded=True)
             return None
         address = self._leader_address(runner)
         if not address:
@@ -107,29 +107,40 @@
             UnreachableError: No leader confirmed an index by `deadline`, or
                 this replica has not applied the entries up to it by then.
         """
-        index = -1
-        while index < 0 and self.now() < deadline:
-            index = await self._confirmed_index(deadline)
-            if index < 0:
-                await asyncio.sleep(RETRY_DELAY_SECONDS)
-        while index < 0 or self.get_runner().state.index < index:
+        index = await self.confirmed_index(deadline)
+        while self.get_runner().state.index < index:
             if self.now() >= deadline:
                 raise errors.UnreachableError("no leader confirmed in time")
             await asyncio.sleep(0.01)
 
-    async def _confirmed_index(self, deadline: float) -> int:
+    async def confirmed_index(self, deadline: float) -> int:
+        """Returns an index of the log that has all changes acknowledged so far.
+
+        Raises:
+            UnreachableError: No leader confirmed an index by `deadline`.
+        """
+        while self.now() < deadline:
+            index = await self._try_confirm_index(deadline)
+            if index >= 0:
+                return index
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+        raise errors.UnreachableError("no leader confirmed in time")
+
+    async def _try_confirm_index(self, deadline: float) -> int:
+        """Returns an index, or -1 if no leader confirmed one."""
         runner = self.get_runner()
         if runner.is_leader:
             with contextlib.suppress(errors.NotLeaderError):
                 await runner.read_barrier(deadline)
                 return runner.state.index
             return -1
-        if not runner.leader_address:
+        address = self._leader_address(runner)
+        if not address:
             return -1
         seconds_left = max(0.01, deadline - self.now())
         with contextlib.suppress(errors.UnreachableError):
             response: messages.ReadIndexResponse = await self.peers.call(
-                runner.leader_address,
+                address,
                 peers.READ,
                 messages.ReadIndex(0),
                 seconds_left,
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -14,6 +14,7 @@
 from pollenseam import messages
 from pollenseam import outbox
 from pollenseam import peers
+from pollenseam import proposals
 from pollenseam import quorumlog
 from pollenseam import replica
 from pollenseam import snapshots
@@ -28,30 +29,6 @@
 Clock = Callable[[], float]
 
 
-class Proposal:
-    """A command or configuration whose outcome is awaited.
-
-    Attributes:
-        command: Encoded command; b"" for a configuration.
-        members: New configuration, or None for a command.
-        term: Term in which its entry was appended; 0 before that.
-        future: Receives the outcome, or NotLeaderError.
-    """
-
-    __slots__ = ("command", "members", "term", "future")
-
-    def __init__(
-        self,
-        command: bytes,
-        future: "asyncio.Future[commands.Outcome]",
-        members: messages.Members | None = None,
-    ) -> None:
-        self.command = command
-        self.members = members
-        self.term = 0
-        self.future = future
-
-
 class ReplicaRunner:
     """Runs one replica: carries out what its consensus core decides.
 
@@ -68,6 +45,7 @@
         lending: Leases that this replica grants while it leads.
         failure_reason: Why the replica stopped, or "" while it runs.
         outbox: Sends messages to the other replicas.
+        gate: Decides which commands are appended while this replica leads.
         on_applied: Called after entries or a snapshot changed the state.
     """
 
@@ -96,8 +74,9 @@
         self._inbox: collections.deque[messages.AnyMessage] = (
             collections.deque()
         )
-        self._proposals: list[Proposal] = []
-        self._pending: dict[int, Proposal] = {}
+        self._proposals: list[proposals.Proposal] = []
+        self._pending: dict[int, proposals.Proposal] = {}
+        self.gate = proposals.Gate(lambda: self.state.registry)
         self.outbox = outbox.Outbox(core, own_address, peer_client, log)
         self._snapshot_sender = snapshots.Sender(
             core, storage, self.outbox.enqueue, self.wake, log, now
@@ -193,15 +172,25 @@
         """Makes the loop process work that other callers left in `replica`."""
         self._wake_event.set()
 
-    async def submit(self, command: commands.Command) -> commands.Outcome:
+    async def submit(
+        self, command: commands.Command, is_guarded: bool = False
+    ) -> commands.Outcome:
         """Replicates a command and returns its outcome.
 
+        A command whose caller is cancelled before it was appended to the log
+        is dropped.
+
+        Args:
+            command: The command.
+            is_guarded: Whether the command has to pass the gate, as those from
+                outside do. The outcome says so if it does not.
+
         Raises:
             NotLeaderError: This replica does not lead, or stopped leading
                 before the outcome was known.
             RefusedError: Too many proposals are pending.
         """
-        return await self._propose(commands.encode(command), None)
+        return await self._propose(command, None, is_guarded)
 
     async def change_members(self, members: messages.Members) -> None:
         """Replicates a new configuration.
@@ -213,12 +202,15 @@
                 more than one voter would change, no voter would be left, or
                 too many proposals are pending.
         """
-        outcome = await self._propose(b"", members)
+        outcome = await self._propose(None, members)
         if outcome.kind:
             raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
 
     async def _propose(
-        self, command: bytes, members: messages.Members | None
+        self,
+        command: commands.Command | None,
+        members: messages.Members | None,
+        is_guarded: bool = False,
     ) -> commands.Outcome:
         if not self.is_leader:
             raise errors.NotLeaderError("this replica is not the leader")
@@ -228,7 +220,9 @@
             )
         future: asyncio.Future[commands.Outcome]
         future = asyncio.get_running_loop().create_future()
-        self._proposals.append(Proposal(command, future, members))
+        self._proposals.append(
+            proposals.Proposal(command, members, future, is_guarded)
+        )
         self._wake_event.set()
         return await future
 
@@ -315,33 +309,49 @@
         self._report_role(now)
 
     def _append_proposals(self, now: float) -> None:
-        proposals = self._proposals
+        queued = self._proposals
         self._proposals = []
-        for proposal in proposals:
+        for proposal in queued:
+            if proposal.future.done():
+                # Its caller has given it up, and may have sent it again, or
+                # the opposite, to another VM.
+                continue
             entry = self._append_proposal(proposal, now)
             if entry is not None:
                 proposal.term = entry.term
                 self._pending[entry.index] = proposal
-        if proposals:
+                proposals.record_appended(
+                    proposal.command, entry.index, self.gate
+                )
+        if queued:
             self.replica.flush(now)
 
     def _append_proposal(
-        self, proposal: Proposal, now: float
+        self, proposal: proposals.Proposal, now: float
     ) -> messages.Entry | None:
-        if proposal.members is None:
-            entry = self.replica.propose(proposal.command, now)
-        else:
+        if proposal.members is not None:
             entry = self.replica.change_members(proposal.members, now)
-        if entry is not None or proposal.future.done():
-            return entry
-        if proposal.members is not None and self.is_leader:
-            detail = "another change of the replicas is in progress"
-            outcome = commands.Outcome(errors.Kind.CONFLICT, detail)
-            proposal.future.set_result(outcome)
+            if entry is None and self.is_leader:
+                detail = "another change of the replicas is in progress"
+                outcome = commands.Outcome(errors.Kind.CONFLICT, detail)
+                proposal.future.set_result(outcome)
+                return None
         else:
+            assert proposal.command is not None
+            if proposal.is_guarded and self.is_leader:
+                refusal = proposals.why_refused(
+                    proposal.command, self.gate, self.replica.term_start
+                )
+                if refusal is not None:
+                    outcome = commands.Outcome(refusal.kind, refusal.detail)
+                    proposal.future.set_result(outcome)
+                    return None
+            data = commands.encode(proposal.command)
+            entry = self.replica.propose(data, now)
+        if entry is None:
             error = errors.NotLeaderError("this replica is not the leader")
             proposal.future.set_exception(error)
-        return None
+        return entry
 
     def _report_role(self, now: float) -> None:
         core = self.replica
