--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,8 +1,10 @@
 """Orders on evacuations that were given up, or come late."""
 
 import asyncio
+import signal
 
 import controls
+import machines
 import msgspec
 
 from pollenseam import commands
@@ -89,3 +91,20 @@
     data = commands.encode(commands.SetEvacuation("z1", True, 7))
     read = msgspec.msgpack.decode(data, type=EarlierSetEvacuation)
     assert read == earlier
+
+
+async def test_a_zone_that_came_with_new_settings_can_be_evacuated(
+    tmp_path, monkeypatch
+):
+    """Guards against an order that is refused until the next restart."""
+    async with machines.running_cluster(tmp_path) as cluster:
+        control = cluster.control_vms[0]
+
+        def evacuate():
+            return cluster.rpc("evacuate.start", "z9", control_vm=control)
+
+        assert (await evacuate())[0] == 400
+        monkeypatch.setitem(machines.ZONES, "z9", "r9")
+        control.write_settings()
+        control.process.send_signal(signal.SIGHUP)
+        await cluster.wait_until(lambda: cluster.has_status_200(evacuate()))
