Steering: an upstream that starts again gets a request at once

After the new start, by expected time alone, the objects that rank it first go on to the warm one for WARM_UP_SECONDS, and after that until noise makes the warm one look slower; with few requests nothing else decides. Ruled out by reading: statements of the earlier start (they end with a later one, on the leader and on entry VMs), is_update (a later start needs no higher sequence).

A start of which this VM knows no speed counts as immediate for an object that ranks it first, until it has one request. Penalties stay, so a cold or suspect one waits.

--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -334,7 +334,12 @@
             penalty = costs.penalty_seconds(
                 upstream, rank, required, self.region, now
             )
-            candidate = _Candidate(choice, choice.expected_seconds + penalty)
+            expected = choice.expected_seconds
+            if rank == 0 and upstream.is_untried:
+                # Its objects are warm elsewhere, so by the time alone it would
+                # get no request, and its speed would stay unknown.
+                expected = 0.0
+            candidate = _Candidate(choice, expected + penalty)
             if best is None or candidate.sort_key < best.sort_key:
                 best = candidate
             count += 1
--- a/src/pollenseam/upstreamstats.py
+++ b/src/pollenseam/upstreamstats.py
@@ -77,6 +77,8 @@
         pending: Requests without a response, oldest first.
         risky_in_flight: Requests of this VM that may crash the upstream.
         name_hash: Hash of the upstream's id, for rendezvous hashing.
+        is_untried: Whether this VM knows nothing of the upstream's speed, as
+            it has sent it no request.
     """
 
     __slots__ = (
@@ -101,6 +103,7 @@
         "pending",
         "risky_in_flight",
         "name_hash",
+        "is_untried",
     )
 
     def __init__(
@@ -129,6 +132,7 @@
         self.pending: list[PendingRequest] = []
         self.risky_in_flight = 0
         self.name_hash = hashing.hash64(record.id)
+        self.is_untried = True
 
     def load(self, now: float) -> float:
         """Returns the estimated number of requests on the upstream now.
@@ -208,6 +212,7 @@
     def _decay(self, now: float) -> None:
         age = now - self.decayed_at
         factor = _decay_factor(age, SLOWNESS_HALF_LIFE_SECONDS)
+        self.is_untried = False
         self.slowness = 1 + (self.slowness - 1) * factor
         self.failure_ratio *= _decay_factor(age, FAILURE_HALF_LIFE_SECONDS)
         self.decayed_at = now
@@ -245,6 +250,7 @@
             The pending request, to be passed to `end`.
         """
         self.pacer.take()
+        self.is_untried = False
         request = PendingRequest(now, expected, is_risky)
         self.risky_in_flight += is_risky
         self.pending.append(request)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from pollenseam import costs
 from pollenseam import hashing
 from pollenseam import pacing
 from pollenseam import registry
@@ -267,3 +268,40 @@
     first.record_success("7", 1.0, 0.2, 1.0)
     first.end(request)
     assert not first.is_unreachable(1.0)
+
+
+def serve(pool, object, now, seconds=0.01):
+    """Serves a request; returns the id of the upstream."""
+    choice = pool.choose(required(object=object), now)
+    upstream = choice.upstream
+    request = upstream.begin(choice.expected_seconds, now)
+    upstream.end(request)
+    is_warm = object in upstream.warm_objects
+    expected = choice.expected_seconds
+    upstream.record_success(object, seconds, expected, now)
+    if is_warm:
+        estimate = seconds / costs.WARM_WORK_RATIO
+        pool.work_estimates.record("r1", estimate)
+    return upstream.record.id
+
+
+def test_an_upstream_that_starts_again_gets_a_request_at_once():
+    """Guards against a start that is not used while traffic is low.
+
+    While it was gone, the other upstream served all its objects, and is warm
+    for them: each is answered faster there.
+    """
+    objects = [str(n) for n in range(24)]
+    pool = pool_of({"a1": 2})
+    gone, other = sorted({serve(pool, object, 0.0) for object in objects})
+    pool.update([record(other)], REGIONS, 1.0)
+    assert {serve(pool, object, 2.0) for object in objects} == {other}
+    again = record(gone, started_ms=2)
+    pool.update([record(other), again], REGIONS, 3.0)
+    assert gone in {serve(pool, object, 3.5) for object in objects}
+    # A cold one has to wait.
+    again = record(gone, started_ms=3, cold_ms=4000)
+    pool.update([record(other)], REGIONS, 4.0)
+    assert {serve(pool, object, 4.5) for object in objects} == {other}
+    pool.update([record(other), again], REGIONS, 5.0)
+    assert {serve(pool, object, 5.5) for object in objects} == {other}
