--- a/src/pollenseam/upstreamstatements.py
+++ b/src/pollenseam/upstreamstatements.py
@@ -24,7 +24,7 @@
 # A longer pause is probably a mistake; it is ignored.
 MAX_PAUSE_SECONDS = 3600.0
 # Statements are kept for this long though the registry has no record of the
-# upstream, as the record may still be on its way.
+# upstream, or one of an earlier start, as the record may still be on its way.
 RETAIN_SECONDS = 10.0
 
 # Floating-point numbers are written with up to 17 significant digits.
@@ -354,11 +354,11 @@
 
 
 def _has_ended(record: Record, latest: Latest | None, now: float) -> bool:
-    if latest is None:
+    if latest is None or latest.started_ms < record.started_ms:
         return now - record.read_at > RETAIN_SECONDS
     if latest.started_ms == record.started_ms:
         return latest.has_ended
-    return latest.started_ms > record.started_ms
+    return True
 
 
 def _to_message(upstream: str, record: Record, now: float) -> Statement:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -1,7 +1,9 @@
 """Upstreams that say in responses that they leave, or ask for a pause."""
 
 import time
+import types
 
+import gateway
 import machines
 import pytest
 import scripted
@@ -202,3 +204,29 @@
     assert (refusal.kind, refusal.executed) == (errors.Kind.NO_ROOM, "no")
     assert refusal.retry_after is not None
     assert least < refusal.retry_after <= float(pause)
+
+
+def test_a_statement_of_a_start_that_nobody_announces_ends_no_other_for_good():
+    """Guards against an upstream that is lost by one odd statement."""
+    table = upstreamstatements.Table()
+    odd = upstreamstatements.Statement("i1", 9, -1.0, 0, is_leaving=True)
+    table.adopt([odd], 0.0)
+    assert table.is_over("i1", 5)
+
+    def find_latest(id):
+        return upstreamstatements.Latest(5, False)
+
+    table.retain(find_latest, upstreamstatements.RETAIN_SECONDS)
+    assert table.is_over("i1", 5)
+    table.retain(find_latest, upstreamstatements.RETAIN_SECONDS + 0.1)
+    assert not table.is_over("i1", 5)
+
+
+@pytest.mark.parametrize(("echoed", "load"), [("q1", (7, 2)), ("q0", (-1, 0))])
+def test_the_load_in_the_copy_of_an_earlier_response_is_not_used(echoed, load):
+    """Guards against an upstream that counts as full by a late copy."""
+    headers = {"X-Request-Id": echoed, "X-Server-Load": "7,2,3"}
+    response = types.SimpleNamespace(status=200, headers=headers)
+    call = types.SimpleNamespace(id="q1")
+    head = gateway.PlatformProtocol().read_head(call, response)
+    assert (head.running, head.waiting) == load
