Announcements that came before their service are recorded with it

A check-in of a service that does not stand is refused since the leader asks what a record proves. Upstreams that start before the desired state arrives would have to wait for their next check-in, up to an interval, and traffic may start sooner.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -269,6 +269,7 @@
         )
         runner.on_applied = self._on_applied
         runner.gate.is_announcing = self._is_announcing
+        runner.gate.on_unknown_service = self._keep_announcement
         self.freshness = freshness.Freshness()
         self.log.emit(
             "replica-opened",
@@ -295,6 +296,9 @@
         finally:
             join_task.cancel()
 
+    def _keep_announcement(self, record: registry.Upstream) -> None:
+        self.leader_duties.waiting.add(record, self.now())
+
     def _is_announcing(self, id: str) -> bool:
         """Whether an upstream announced itself lately, if this VM leads."""
         term = self.replica_runner.replica.hard_state.term
--- a/src/pollenseam/leaderduties.py
+++ b/src/pollenseam/leaderduties.py
@@ -1,6 +1,7 @@
 """What the control VM that leads does at regular intervals."""
 
 import contextlib
+import functools
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -16,7 +17,12 @@
 from pollenseam import registry
 from pollenseam import renewals
 from pollenseam import replicarunner
+from pollenseam import succession
 from pollenseam import tasks
+from pollenseam import waitingrecords
+
+# Announcements in one log entry; each has about 150 bytes.
+MAX_RECORDS_PER_ENTRY = 200
 
 
 class LeaderDuties:
@@ -31,6 +37,7 @@
         board: What entry VMs observe at upstreams.
         renewals: Leases shares of rates to entry VMs.
         tasks: Background tasks of this VM.
+        waiting: Announcements of upstreams whose service is not known yet.
         led_term: Latest term in which this VM led.
     """
 
@@ -53,6 +60,9 @@
         self.board = board
         self.renewals = local_renewals
         self.tasks = background_tasks
+        self.waiting = waitingrecords.WaitingRecords(
+            liveness_tracker.replacement_timeout
+        )
         self.led_term = 0
 
     def do_once(self, announced_ids: Iterable[str], now: float) -> None:
@@ -72,6 +82,7 @@
         self.liveness.record_upstreams(announced_ids, now)
         self.liveness.remove_expired(runner.replica.members, now)
         self._record_expired(now)
+        self._record_waiting(now)
         self.board.statements.retain(self.find_registry().latest_start, now)
         self._remove_one_replica(now)
 
@@ -100,6 +111,29 @@
         self.liveness.record_upstreams([r.id for r in records], now)
         self.tasks.attempt(lambda: self._submit_if_leader(records))
 
+    def _record_waiting(self, now: float) -> None:
+        """Records announcements that came before their service."""
+        current = self.find_registry()
+        ready = [
+            record
+            for record in self.waiting.take_ready(current, now)
+            if current.is_update(record)
+            and succession.why_refused(
+                record, current, self.find_runner().gate.is_announcing
+            )
+            is None
+        ]
+        if not ready:
+            return
+        self.log.emit("upstreams-recorded-late", count=len(ready))
+        for first in range(0, len(ready), MAX_RECORDS_PER_ENTRY):
+            self.tasks.attempt(
+                functools.partial(
+                    self._submit_if_leader,
+                    ready[first : first + MAX_RECORDS_PER_ENTRY],
+                )
+            )
+
     async def _submit_if_leader(self, records: list[registry.Upstream]) -> None:
         with contextlib.suppress(errors.NotLeaderError):
             await self.find_runner().submit(commands.RecordUpstreams(records))
--- a/src/pollenseam/proposals.py
+++ b/src/pollenseam/proposals.py
@@ -50,14 +50,22 @@
         find_registry: Returns the registry that the replica has applied.
         is_announcing: Returns whether an upstream has announced itself lately,
             by its id.
+        on_unknown_service: Called with each announcement that is refused as
+            its service is not known.
         orders: Orders on evacuations in the leader's term.
     """
 
-    __slots__ = ("find_registry", "is_announcing", "orders")
+    __slots__ = (
+        "find_registry",
+        "is_announcing",
+        "on_unknown_service",
+        "orders",
+    )
 
     def __init__(self, find_registry: Callable[[], registry.Registry]) -> None:
         self.find_registry = find_registry
         self.is_announcing: Callable[[str], bool] = _is_announcing
+        self.on_unknown_service: Callable[[registry.Upstream], None] = _ignore
         self.orders = evacuations.Orders()
 
 
@@ -66,6 +74,10 @@
     return True
 
 
+def _ignore(record: registry.Upstream) -> None:
+    """Default of `Gate.on_unknown_service`; does nothing."""
+
+
 @functools.singledispatch
 def why_refused(
     command: object, gate: Gate, term_start: int
@@ -89,6 +101,8 @@
             record, gate.find_registry(), gate.is_announcing
         )
         if refusal is not None:
+            if refusal.kind == errors.Kind.NO_ROUTE:
+                gate.on_unknown_service(record)
             return refusal
     return None
 
--- a/src/pollenseam/succession.py
+++ b/src/pollenseam/succession.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from pollenseam import errors
-from pollenseam import items
 from pollenseam import registry
+from pollenseam import waitingrecords
 
 IN_USE = (registry.SERVING, registry.LEAVING)
 
@@ -40,7 +40,7 @@
         if current is not None and _goes_on(current, is_announcing):
             return _conflict(f"another start of {record.id!r} goes on")
         return None
-    if not _has_service(known, record.service):
+    if not waitingrecords.has_service(known, record.service):
         return errors.Refusal(
             errors.Kind.NO_ROUTE, f"no service {record.service!r}"
         )
@@ -98,10 +98,5 @@
     return record.state in IN_USE and is_announcing(record.id)
 
 
-def _has_service(known: registry.Registry, name: str) -> bool:
-    item = known.items.get((items.SERVICE, name))
-    return item is not None and item.body is not None
-
-
 def _conflict(detail: str) -> errors.Refusal:
     return errors.Refusal(errors.Kind.CONFLICT, detail)
