--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -510,6 +510,12 @@
         if outcome.kind == errors.Kind.CONFLICT:
             # A refusal would be final for the caller; it sends the order again
             # if it still wants it.
+            self.log.emit_often(
+                "evacuation-late",
+                domain=failure_domain,
+                is_on=is_on,
+                arrived_index=arrived_index,
+            )
             raise errors.UnreachableError(outcome.detail)
         if outcome.kind:
             raise errors.refuse(errors.Kind(outcome.kind), outcome.detail)
--- a/src/pollenseam/replicarunner.py
+++ b/src/pollenseam/replicarunner.py
@@ -315,6 +315,9 @@
             if proposal.future.done():
                 # Its caller has given it up, and may have sent it again, or
                 # the opposite, to another VM.
+                self.log.emit_often(
+                    "proposal-given-up", command=type(proposal.command).__name__
+                )
                 continue
             entry = self._append_proposal(proposal, now)
             if entry is not None:
