Log: a thread of its own writes the lines, and drops what nobody reads

Cause: open_log gave stdout or stderr to the log library, so that each line was a write in the event loop. While nobody read the log, the pipe filled up and the process stood still: no answers, no readiness check, no control VM; at the start and at the stop as well.

Changed: logwriter.Writer has a queue, bounded by 4,096 lines and 512 KiB, and a daemon thread. The first line after a pause wakes the thread, further ones share one write each 0.1 s. What does not fit or cannot be written is dropped and counted: log_lines_dropped, and one line lines-dropped of=log once a write succeeds again. A stop waits 0.5 s for the thread, exits after a failed task do so too. Messages of libraries (logging, warnings) and errors that end a process went to stderr and could hold it up; they are lines of the log now (diagnostics). Streams in memory are written at once, as before.

--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -433,6 +433,7 @@
                 ),
                 "upstreams_serving": states.count(registry.SERVING),
                 "step_failures": self._tasks.failures,
+                "log_lines_dropped": self.log.dropped,
             }
         )
         return exposition + self.peers.traffic.expose()
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -15,6 +15,7 @@
 from pollenseam import admission
 from pollenseam import bootstrap
 from pollenseam import datafolder
+from pollenseam import diagnostics
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import flags
@@ -49,6 +50,8 @@
 FIRST_LEASE_MARGIN_SECONDS = 1.0
 # Net allocations that trigger a garbage collection of the youngest generation.
 GC_THRESHOLD = 20_000
+# Errors that `main` reports in one line.
+EXPECTED_ERRORS = (errors.FlagError, errors.DamagedError, OSError)
 
 
 class Daemon:
@@ -268,6 +271,7 @@
         self.log.emit("task-failed", reason=repr(error))
         # A daemon without one of its parts would answer wrongly. The process
         # exits because only a restart leads to a state that is tested.
+        self.log.close()
         os._exit(70)
 
     # Stop.
@@ -398,7 +402,7 @@
         insecure,
     )
     log = events.open_log(daemon_flags.vm, daemon_flags.log_file)
-    asyncio.run(_run(daemon_flags, log))
+    diagnostics.run(_run(daemon_flags, log), log, EXPECTED_ERRORS)
 
 
 async def _run(daemon_flags: flags.Flags, log: events.EventLog) -> None:
--- /dev/null
+++ b/src/pollenseam/diagnostics.py
@@ -0,0 +1,70 @@
+"""Messages of libraries and of the interpreter, as lines of the event log.
+
+Written to stderr, as they are by default, they would hold up the process while
+nobody reads it.
+"""
+
+import asyncio
+import logging
+import sys
+import traceback
+from collections.abc import Coroutine
+from typing import Any
+
+from pollenseam import events
+
+FAILED_EXIT_CODE = 1
+
+
+class _Handler(logging.Handler):
+    """Writes the records of the `logging` module to the event log.
+
+    Attributes:
+        log: Event log.
+    """
+
+    def __init__(self, log: events.EventLog) -> None:
+        super().__init__(logging.WARNING)
+        self.log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record."""
+        trace = None
+        if record.exc_info:
+            trace = "".join(traceback.format_exception(*record.exc_info))
+        self.log.emit_often(
+            "library-message",
+            source=record.name,
+            level=record.levelname,
+            reason=record.getMessage(),
+            trace=trace,
+        )
+
+
+def run(
+    main: Coroutine[Any, Any, None],
+    log: events.EventLog,
+    expected: tuple[type[Exception], ...],
+) -> None:
+    """Runs a program, and writes what is left of its log at the end.
+
+    Args:
+        main: The program.
+        log: Event log; also gets the messages of libraries.
+        expected: Errors that the caller reports.
+
+    Raises:
+        SystemExit: The program failed by another error, which was logged.
+    """
+    logging.basicConfig(handlers=[_Handler(log)], force=True)
+    logging.captureWarnings(True)
+    try:
+        asyncio.run(main)
+    except expected:
+        raise
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        log.emit("process-failed", reason=repr(error), trace=trace)
+        sys.exit(FAILED_EXIT_CODE)
+    finally:
+        log.close()
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -559,6 +559,7 @@
                 "settings_age_seconds": self.follower.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "step_failures": self._tasks.failures,
+                "log_lines_dropped": self.log.dropped,
                 "entry_vms": len(self.follower.directory.entries),
                 **self._statement_gauges(),
                 **self.reach_watch.gauges(),
--- a/src/pollenseam/events.py
+++ b/src/pollenseam/events.py
@@ -11,6 +11,8 @@
 
 import loguru
 
+from pollenseam import logwriter
+
 MAX_VALUE_CHARACTERS = 1000
 # Lines per event name written by `emit_often`. Further lines are dropped and
 # their number is logged.
@@ -51,13 +53,21 @@
     Attributes:
         vm: Name of the VM.
         clock: Logical clock of the process.
+        writer: Thread that writes the lines, or None if none is needed.
     """
 
-    __slots__ = ("vm", "clock", "_logger", "_second", "_counts")
+    __slots__ = ("vm", "clock", "writer", "_logger", "_second", "_counts")
 
-    def __init__(self, vm: str, clock: LogicalClock, logger: Any) -> None:
+    def __init__(
+        self,
+        vm: str,
+        clock: LogicalClock,
+        logger: Any,
+        writer: logwriter.Writer | None = None,
+    ) -> None:
         self.vm = vm
         self.clock = clock
+        self.writer = writer
         self._logger = logger
         self._second = 0
         self._counts: collections.Counter[str] = collections.Counter()
@@ -90,6 +100,16 @@
         if self._counts[event] <= MAX_LINES_PER_SECOND:
             self.emit(event, **fields)
 
+    @property
+    def dropped(self) -> int:
+        """Number of lines that were not written, as nobody read the log."""
+        return self.writer.dropped if self.writer is not None else 0
+
+    def close(self) -> None:
+        """Writes the lines that wait, for a bounded time, before an exit."""
+        if self.writer is not None:
+            self.writer.close()
+
     def _report_dropped_lines(self) -> None:
         for event, count in self._counts.items():
             if count > MAX_LINES_PER_SECOND:
@@ -160,13 +180,43 @@
 def open_log(vm: str, path: str | None = None, stream: Any = None) -> EventLog:
     """Opens the event log of this process.
 
+    A thread writes to files and to streams that have a file descriptor.
+
     Args:
         vm: Name of the VM.
         path: File to append to, or None to write to `stream`.
         stream: Stream to write to if there is no path; stderr by default.
+
+    Raises:
+        OSError: The file cannot be opened.
     """
+    clock = LogicalClock()
     logger = loguru.logger
     logger.remove()
-    sink: Any = path or stream or sys.stderr
-    logger.add(sink, format="{message}", level="INFO", catch=True)
-    return EventLog(vm, LogicalClock(), logger)
+    descriptor = _descriptor(path, stream or sys.stderr)
+    if descriptor is None:
+        logger.add(stream, format="{message}", level="INFO", catch=True)
+        return EventLog(vm, clock, logger)
+
+    def describe_dropped(count: int) -> str:
+        fields = {"of": "log", "count": count}
+        return format_line(vm, clock.time, "lines-dropped", fields)
+
+    writer = logwriter.Writer(descriptor, describe_dropped)
+
+    def write(message: object) -> None:
+        # The message of the library also holds the record that it was made of.
+        writer.add(str(message))
+
+    logger.add(write, format="{message}", level="INFO", catch=True)
+    return EventLog(vm, clock, logger, writer)
+
+
+def _descriptor(path: str | None, stream: Any) -> int | None:
+    """Returns where to write; None for a stream in memory."""
+    if path:
+        return logwriter.open_file(path)
+    try:
+        return int(stream.fileno())
+    except (AttributeError, OSError, ValueError):
+        return None
--- a/src/pollenseam/tasks.py
+++ b/src/pollenseam/tasks.py
@@ -85,6 +85,7 @@
         self.log.emit("task-failed", **_described(error))
         # A process without one of its parts would answer wrongly. It exits
         # because only a restart leads to a state that is tested.
+        self.log.close()
         os._exit(FAILED_EXIT_CODE)
 
     def cancel(self) -> None:
--- a/src/pollenseam/vm.py
+++ b/src/pollenseam/vm.py
@@ -366,6 +366,7 @@
                 and self.replica_runner.is_leader
             ),
             "load": self.load(),
+            "log_lines_dropped": float(self.log.dropped),
             **self.reach_watch.gauges(),
         }
 
--- /dev/null
+++ b/tests/test_logwriter.py
@@ -0,0 +1,328 @@
+"""A log that nobody reads, for a while or for good."""
+
+import asyncio
+import fcntl
+import logging
+import os
+import signal
+import sys
+import threading
+import time
+
+import aiohttp
+import machines
+import pytest
+
+from pollenseam import diagnostics
+from pollenseam import events
+from pollenseam import logwriter
+from pollenseam.standins import fleet
+
+# Time for what takes some milliseconds, on a busy machine.
+WAIT_SECONDS = 10.0
+EXIT_SECONDS = 12.0
+# Each has several lines in the log of the entry VM.
+REQUESTS = 800
+
+
+class Pipe:
+    """A pipe that is read only when the test does so.
+
+    Attributes:
+        stream: Stream that writes to the pipe.
+        logs: Logs that write to it.
+    """
+
+    def __init__(self):
+        self.read_end, write_end = os.pipe()
+        self.stream = os.fdopen(write_end, "w")
+        self.logs = []
+
+    def open_log(self):
+        log = events.open_log("v1", stream=self.stream)
+        self.logs.append(log)
+        return log
+
+    def fill(self):
+        """Fills the pipe, so that the next write waits; returns the bytes."""
+        flags = fcntl.fcntl(self.stream, fcntl.F_GETFL)
+        os.set_blocking(self.stream.fileno(), False)
+        filled = 0
+        for size in (4096, 1):
+            try:
+                while True:
+                    filled += os.write(self.stream.fileno(), b"\n" * size)
+            except BlockingIOError:
+                pass
+        fcntl.fcntl(self.stream, fcntl.F_SETFL, flags)
+        return filled
+
+    def read_until(self, text, skip=0):
+        """Reads until `text` comes; returns the lines after `skip` bytes."""
+        data = b""
+        while text.encode() not in data:
+            data += os.read(self.read_end, 65536)
+        return data[skip:].decode().splitlines()
+
+    def close(self):
+        os.close(self.read_end)
+        # A thread that still waits would write to the next file that gets the
+        # number of this pipe.
+        for log in self.logs:
+            log.close()
+            assert not log.writer._thread.is_alive()
+        self.stream.close()
+
+
+@pytest.fixture
+def pipe():
+    opened = Pipe()
+    yield opened
+    opened.close()
+
+
+def within(seconds, function):
+    """Calls a function in a thread, which must return in time."""
+    thread = threading.Thread(target=function, daemon=True)
+    thread.start()
+    thread.join(seconds)
+    assert not thread.is_alive(), f"still running after {seconds} s"
+
+
+def wait_until(check):
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not check():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+def test_no_line_waits_for_a_reader(pipe):
+    filled = pipe.fill()
+    log = pipe.open_log()
+
+    def emit_all():
+        for number in range(20_000):
+            log.emit("served", number=number)
+
+    within(WAIT_SECONDS, emit_all)
+    within(WAIT_SECONDS, log.close)
+    assert log.dropped >= 20_000 - 2 * logwriter.MAX_LINES
+    assert log.dropped < 20_000
+    assert log.writer._character_count <= logwriter.MAX_CHARACTERS
+    lines = pipe.read_until("event=lines-dropped", filled)
+    pairs = [events.parse_line(line) for line in lines]
+    assert pairs[-1]["of"] == "log"
+    assert int(pairs[-1]["count"]) == log.dropped
+    numbers = [int(p["number"]) for p in pairs[:-1]]
+    assert numbers == list(range(20_000 - log.dropped))
+
+
+def test_the_size_of_what_waits_is_bounded(pipe):
+    pipe.fill()
+    log = pipe.open_log()
+    for _ in range(3000):
+        log.emit("served", reason="x" * events.MAX_VALUE_CHARACTERS)
+    assert log.dropped > 0
+    assert log.writer._character_count <= logwriter.MAX_CHARACTERS
+
+
+def test_lines_are_written_again_once_the_log_is_read(pipe):
+    log = pipe.open_log()
+    log.emit("first")
+    lines = pipe.read_until("event=first")
+    assert len(lines) == 1
+    filled = pipe.fill()
+    for _ in range(2 * logwriter.MAX_LINES):
+        log.emit("served")
+    dropped = log.dropped
+    assert dropped > 0
+    lines = pipe.read_until("event=lines-dropped", filled)
+    assert f"count={dropped}" in lines[-1]
+    log.emit("last")
+    assert len(pipe.read_until("event=last")) == 1
+    assert log.dropped == dropped
+
+
+def test_many_lines_share_a_write(pipe, monkeypatch):
+    """Guards against a wake-up and a system call for each line."""
+    sizes = []
+    write = os.write
+
+    def count(descriptor, data):
+        sizes.append(len(data))
+        return write(descriptor, data)
+
+    monkeypatch.setattr(logwriter.os, "write", count)
+    log = pipe.open_log()
+    for _ in range(500):
+        log.emit("served")
+    log.close()
+    assert len(pipe.read_until("lt=500 ")) == 500
+    assert len(sizes) <= 5
+
+
+def test_the_last_lines_are_written_at_a_close(pipe):
+    log = pipe.open_log()
+    log.emit("started")
+    log.emit("stopped")
+    log.close()
+    os.set_blocking(pipe.read_end, False)
+    lines = os.read(pipe.read_end, 65536).decode().splitlines()
+    assert [events.parse_line(li)["event"] for li in lines] == [
+        "started",
+        "stopped",
+    ]
+
+
+def test_a_failed_write_is_counted(pipe):
+    log = pipe.open_log()
+    read_end = pipe.read_end
+    pipe.read_end = os.open(os.devnull, os.O_RDONLY)
+    os.close(read_end)
+    log.emit("served")
+    wait_until(lambda: log.dropped)
+
+
+def test_a_log_file_is_appended_to(tmp_path):
+    path = tmp_path / "folder" / "log"
+    for event in ("first", "second"):
+        log = events.open_log("v1", str(path))
+        log.emit(event)
+        log.close()
+    lines = path.read_text().splitlines()
+    assert [events.parse_line(li)["event"] for li in lines] == [
+        "first",
+        "second",
+    ]
+
+
+def test_a_named_pipe_without_a_reader_holds_nothing_up(tmp_path):
+    path = tmp_path / "log"
+    os.mkfifo(path)
+
+    def run():
+        log = events.open_log("v1", str(path))
+        for _ in range(5000):
+            log.emit("served")
+        log.close()
+
+    within(WAIT_SECONDS, run)
+
+
+def test_messages_of_libraries_and_the_end_by_an_error_are_logged(
+    tmp_path, monkeypatch
+):
+    root = logging.getLogger()
+    monkeypatch.setattr(root, "handlers", [])
+    path = tmp_path / "log"
+    log = events.open_log("v1", str(path))
+
+    async def run():
+        logging.getLogger("asyncio").error("a task failed")
+        raise ValueError("odd")
+
+    with pytest.raises(SystemExit):
+        diagnostics.run(run(), log, ())
+    first, second = map(events.parse_line, path.read_text().splitlines())
+    assert first["event"] == "library-message"
+    assert first["reason"] == "a task failed"
+    assert second["event"] == "process-failed"
+    assert "ValueError: odd" in second["trace"]
+
+
+async def test_programs_start_serve_and_stop_without_a_reader(tmp_path):
+    """Guards against programs that stand still until their log is read."""
+    pipes = []
+
+    def prepare(machine):
+        pipe = Pipe()
+        pipe.fill()
+        pipes.append(pipe)
+
+        async def start():
+            machine.write_settings()
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(machine.program),
+                machine.role,
+                "7106",
+                stdout=pipe.stream,
+                stderr=pipe.stream,
+                env={
+                    **os.environ,
+                    "POLLENSEAM_SETTINGS": str(machine.folder / "settings"),
+                },
+            )
+
+        machine.start = start
+
+    cluster = machines.Cluster(tmp_path)
+    try:
+        await cluster.start(3, 1, prepare)
+        await cluster.wait_until(
+            lambda: cluster.has_status_200(cluster.patch())
+        )
+        await cluster.add_server("i-1")
+
+        async def is_served():
+            return (await cluster.request())[0] == 200
+
+        await cluster.wait_until(is_served)
+        async with cluster.sending_heartbeats():
+            for _ in range(REQUESTS):
+                assert (await cluster.request())[0] == 200
+        for machine in [*cluster.entry_vms, *cluster.control_vms]:
+            machine.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(EXIT_SECONDS):
+                assert await machine.process.wait() == 0
+    finally:
+        await cluster.stop()
+        for pipe in pipes:
+            pipe.close()
+
+
+async def test_a_daemon_starts_serves_and_stops_without_a_reader(
+    tmp_path, pipe
+):
+    pipe.fill()
+    caller, peer = (f"127.0.0.1:{fleet.free_port()}" for _ in range(2))
+    arguments = {
+        "vm": "v1",
+        "region": "r1",
+        "failure-domain": "d1",
+        "caller-address": caller,
+        "peer-address": peer,
+        "data-folder": str(tmp_path / "data"),
+        "initial-replicas": f"v1={peer}",
+    }
+    words = [word for k, v in arguments.items() for word in (f"--{k}", v)]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "pollenseam.daemon",
+        *words,
+        stdout=pipe.stream,
+        stderr=pipe.stream,
+    )
+    try:
+        await wait_serving(f"http://{caller}/.pollenseam/health")
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(EXIT_SECONDS):
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def wait_serving(url):
+    """Waits until a daemon says that it serves."""
+    async with aiohttp.ClientSession() as session, asyncio.timeout(20.0):
+        while True:
+            try:
+                async with session.get(url) as response:
+                    if (await response.json())["state"] == "serving":
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
