Hedged requests: a late one goes to a second upstream, within the operator's limit

A request that may be repeated and takes longer than 95 in 100 answers of its route is sent to a second upstream beside the first; the first valid answer counts and the other attempt's connection is closed.

- hedging decides (delay, second upstream, when not, saved hedges), answertimes has a streaming quantile per route, warm answers apart, hedgedsending sends.
- options.hedge_ratio, hedges per request of a route, 0 (off) by default: then a call takes the path it took.
Half of the retry budget is left to retries.
- The second attempt counts as a run while it goes on, so max_attempts holds.
- An upstream that lost is recorded as late: otherwise its slow answers would not be known any more.
- Metrics hedges_total, hedge_extra_milliseconds_total; lines hedged and hedge-refused.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -7,7 +7,10 @@
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import hedgedsending
+from pollenseam import hedging
 from pollenseam import metrics
+from pollenseam import options
 from pollenseam import reachability
 from pollenseam import relaying
 from pollenseam import relaymessages
@@ -45,13 +48,14 @@
         sender: Sends calls to upstreams.
         reach_watch: Follows which services this VM reaches.
         relayer: Has calls sent by other VMs.
+        hedged_sender: Sends late calls to a second upstream.
     """
 
     def __init__(
         self,
         protocol: calls.UpstreamProtocol,
         log: events.EventLog,
-        attempt_counter: metrics.Counter,
+        counters: metrics.EntryMetrics,
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
@@ -59,6 +63,7 @@
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
         relayer: relaying.Relayer,
+        entry_options: options.Options,
     ) -> None:
         self.now = vm.boot_seconds
         self.vm_count = 1
@@ -72,7 +77,7 @@
         self.sender = sending.Sender(
             protocol,
             log,
-            attempt_counter,
+            counters.attempts,
             statement_watch,
             watchlist,
             crash_watch,
@@ -80,6 +85,17 @@
             self._evaluate_failure,
             self._claim_second_run,
         )
+        self.hedged_sender = hedgedsending.HedgedSender(
+            entry_options,
+            log,
+            counters.hedges,
+            counters.hedge_milliseconds,
+            self.now,
+            self.reach_watch,
+            self._send_once,
+            self._claim_hedge,
+            self._evaluate_failure,
+        )
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
@@ -250,6 +266,14 @@
 
     async def _send(
         self, active_call: calls.ActiveCall, choice: steering.Choice
+    ) -> calls.Reply | None:
+        """Sends a call to an upstream; to a second one if it may be hedged."""
+        if self.hedged_sender.may_hedge(active_call):
+            return await self.hedged_sender.send(active_call, choice)
+        return await self._send_once(active_call, choice)
+
+    async def _send_once(
+        self, active_call: calls.ActiveCall, choice: steering.Choice
     ) -> calls.Reply | None:
         """Sends a call to one upstream; see `sending.Sender`."""
         upstream = choice.upstream
@@ -326,6 +350,12 @@
         active_call.has_retry = budget.try_spend(self.vm_count, now)
         return active_call.has_retry
 
+    def _claim_hedge(self, active_call: calls.ActiveCall) -> bool:
+        """Takes a hedge from the retry budget, of which a part is left."""
+        return self._budget(active_call.service).try_spend(
+            self.vm_count, self.now(), hedging.RETRY_BUDGET_PART
+        )
+
     def _may_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
         return active_call.may_retry() and self._may_run_again(active_call, now)
 
--- a/src/pollenseam/entryoptions.py
+++ b/src/pollenseam/entryoptions.py
@@ -1,5 +1,6 @@
 """The options of an entry VM, of all its parts."""
 
+from pollenseam import hedging
 from pollenseam import options
 
-ALL: tuple[options.Option, ...] = ()
+ALL: tuple[options.Option, ...] = (hedging.RATIO,)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -200,7 +200,7 @@
         self.dispatcher = dispatcher.Dispatcher(
             protocol,
             log,
-            self.metrics.attempts,
+            self.metrics,
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
@@ -210,6 +210,7 @@
                 log, self.now, self._record_crash, self._is_leaving
             ),
             self.relayer,
+            self.options,
         )
         self.relay_helper = relayhelper.RelayHelper(
             self.dispatcher,
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -117,6 +117,10 @@
         attempts: Requests sent to upstreams, by service and outcome.
         connects: Connections to upstreams, by service and outcome.
         relays: Calls given to other VMs, by service and outcome.
+        hedges: Late calls, by route and outcome of their hedge, or by the
+            reason for which there was none.
+        hedge_milliseconds: Time for which attempts that lost kept their
+            upstreams at work, by route.
         statements: What upstreams stated, by kind and outcome.
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
@@ -130,6 +134,8 @@
         "attempts",
         "connects",
         "relays",
+        "hedges",
+        "hedge_milliseconds",
         "statements",
         "latencies",
         "refusal_latencies",
@@ -142,6 +148,10 @@
         self.attempts = Counter("tries_total", "service", "outcome")
         self.connects = Counter("connects_total", "service", "outcome")
         self.relays = Counter("relays_total", "service", "outcome")
+        self.hedges = Counter("hedges_total", "route", "outcome")
+        self.hedge_milliseconds = Counter(
+            "hedge_extra_milliseconds_total", "route"
+        )
         self.statements = Counter("statements_total", "kind", "outcome")
         self.latencies = Summary("latency_seconds", "route")
         self.refusal_latencies = Summary("refusal_held_seconds", "kind")
@@ -156,6 +166,8 @@
         counters = (
             self.connects,
             self.relays,
+            self.hedges,
+            self.hedge_milliseconds,
             self.statements,
             self.attempts,
             self.answers,
--- a/src/pollenseam/retries.py
+++ b/src/pollenseam/retries.py
@@ -39,29 +39,32 @@
         """Counts a request that is sent for the first time."""
         self.request_counts[int(now)] += 1
 
-    def try_spend(self, vms: int, now: float) -> bool:
+    def try_spend(self, vms: int, now: float, part: float = 1.0) -> bool:
         """Takes one retry; returns False if this VM's budget is exhausted.
 
         Args:
             vms: Number of entry VMs that share the slack.
             now: Time in seconds.
+            part: Part (0 to 1) of the budget that may be used; the rest is
+                left to others.
         """
-        if not self.can_spend(vms, now):
+        if not self.can_spend(vms, now, part):
             return False
         self.retry_counts[int(now)] += 1
         return True
 
-    def can_spend(self, vms: int, now: float) -> bool:
+    def can_spend(self, vms: int, now: float, part: float = 1.0) -> bool:
         """Returns whether this VM's budget allows one more retry.
 
         Args:
             vms: Number of entry VMs that share the slack.
             now: Time in seconds.
+            part: Part (0 to 1) of the budget that may be used.
         """
         self._drop_expired(now)
         earned = self.ratio * sum(self.request_counts.values())
         allowed = SPENDABLE_RATIO * (earned + self.slack / max(1, vms))
-        return sum(self.retry_counts.values()) + 1 <= allowed
+        return sum(self.retry_counts.values()) + 1 <= part * allowed
 
     def _drop_expired(self, now: float) -> None:
         oldest = now - self.window_seconds
--- a/src/pollenseam/upstreamstats.py
+++ b/src/pollenseam/upstreamstats.py
@@ -179,6 +179,19 @@
             while len(self.warm_objects) > MAX_WARM_OBJECTS:
                 self.warm_objects.popitem(last=False)
 
+    def record_late(self, seconds: float, expected: float, now: float) -> None:
+        """Records that a request was ended before it had a response.
+
+        Args:
+            seconds: Time for which there was no response.
+            expected: Expected time to the response, in seconds.
+            now: Time in seconds.
+        """
+        self._decay(now)
+        ratio = min(MAX_SLOWNESS, seconds / max(expected, 0.001))
+        excess = max(0.0, ratio - self.slowness)
+        self.slowness += excess * SLOWNESS_WEIGHT
+
     def record_shed(self, now: float) -> None:
         """Records that the upstream shed a request because it was full."""
         self.answered_at = now
