An answer with a status of 000, 101 or 999 is no answer

- sessions: a head below 100, of 101 or above 599 ends the response with InvalidStatusError and closes the connection.
It covers own, kept and hedged attempts and the daemon's forwarder.
- The outcome is unknown: 502, and a request that may be repeated is sent again.

--- a/src/pollenseam/exchangerelay.py
+++ b/src/pollenseam/exchangerelay.py
@@ -22,6 +22,7 @@
 from pollenseam import relaying
 from pollenseam import relaymessages
 from pollenseam import routing
+from pollenseam import statuses
 from pollenseam import vm
 
 # Time for which the list of helpers is used before it is made again.
@@ -266,6 +267,12 @@
         exchange.received_by.add(response.upstream)
     if response.reply is not None:
         reply = relaymessages.to_reply(response.reply)
+        if not statuses.is_final(reply.status):
+            raise errors.refuse(
+                errors.Kind.UPSTREAM_FAILED,
+                "another VM gave an answer with an invalid status",
+                "unknown",
+            )
         buffered = exchanges.BufferedResponse(reply)
         return exchanges.StreamingResponse(buffered, None, exchange)
     if response.refusal is None:
--- a/src/pollenseam/relayoutcomes.py
+++ b/src/pollenseam/relayoutcomes.py
@@ -3,6 +3,7 @@
 from pollenseam import calls
 from pollenseam import errors
 from pollenseam import relaymessages
+from pollenseam import statuses
 
 
 def apply(
@@ -31,6 +32,13 @@
         active_call.deliveries += 1
         active_call.executions += 1
         reply = relaymessages.to_reply(response.reply)
+        if not statuses.is_final(reply.status):
+            active_call.refusal = errors.Refusal(
+                errors.Kind.UPSTREAM_FAILED,
+                "another VM gave an answer with an invalid status",
+                "unknown",
+            )
+            return None
         if reply.status < 500:
             return reply
         active_call.reply = reply
--- a/src/pollenseam/sessions.py
+++ b/src/pollenseam/sessions.py
@@ -7,6 +7,7 @@
 from aiohttp import client_proto
 
 from pollenseam import headerbytes
+from pollenseam import statuses
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_SECONDS = 1.0
@@ -25,6 +26,10 @@
 MAX_OVERHEAD_RATIO = 8
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """An upstream's answer has a status that no answer may have."""
+
+
 class _ResponseHandler(client_proto.ResponseHandler):
     """Checks for faults of an upstream that aiohttp does not report.
 
@@ -37,6 +42,8 @@
 
     Bytes without end that are not part of the body, see MAX_OVERHEAD_BYTES.
 
+    A status that no answer may have, such as 000, which the parser accepts.
+
     Attributes:
         received_bytes: Bytes of the current response.
         body: Body of the current response, or None before its head.
@@ -63,9 +70,21 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receives a parsed head with its body."""
         message, _ = data
-        self.has_final_head |= message.code >= 200
+        self.has_final_head |= statuses.is_final(message.code)
+        if not self.has_final_head and not statuses.is_interim(message.code):
+            self.set_exception(
+                InvalidStatusError(f"the status is {message.code:03}")
+            )
+            if self.transport is not None:
+                self.transport.abort()
+            return
         super().feed_data(data, size)
 
+    def set_exception(self, exc: Any, *cause: Any) -> None:
+        """Ends the response with an error; the first reason is kept."""
+        if not isinstance(self.exception(), InvalidStatusError):
+            super().set_exception(exc, *cause)
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; closes the connection if they are unasked.
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -39,13 +39,17 @@
 @pytest.fixture(params=["C", "Python"])
 def parser(request, monkeypatch):
     """Uses one of aiohttp's two parsers of answers."""
-    if request.param == "Python":
+    return use_parser(request.param, monkeypatch)
+
+
+def use_parser(name, monkeypatch):
+    if name == "Python":
         monkeypatch.setattr(
             client_proto,
             "HttpResponseParser",
             http_parser.HttpResponseParserPy,
         )
-    return request.param
+    return name
 
 
 def generate_cases():
--- a/tests/test_hedgedsending.py
+++ b/tests/test_hedgedsending.py
@@ -10,6 +10,7 @@
 
 from pollenseam import errors
 from pollenseam import hedging
+from pollenseam import sessions
 
 LATE = 0.7
 
@@ -94,6 +95,7 @@
     "no connection": hedges.Answer(
         0.15, error=aiohttp.ConnectionTimeoutError()
     ),
+    "status 000": hedges.Answer(0.15, error=sessions.InvalidStatusError()),
 }
 
 
