Hedges: an expected wait at the first upstream is no lack of room elsewhere

An upstream that is warm for the object is often chosen with a wait while others are free. Late requests there were refused a hedge as if the region had no room. The load of the region and the free slot of the second upstream decide now; the line hedge-refused has the load. Answer times are used from the 20th answer on: with fewer, the 95th percentile is no more than the longest of them.

--- a/src/pollenseam/answertimes.py
+++ b/src/pollenseam/answertimes.py
@@ -9,8 +9,8 @@
 BUCKET_COUNT = 128
 # Answers after which the weight of all earlier ones is halved.
 HALVED_AFTER_ANSWERS = 400
-# A quantile of fewer answers says too little.
-MIN_ANSWERS = 40
+# With fewer answers, a high quantile is no more than the longest of them.
+MIN_ANSWERS = 20
 # Routes whose answers are remembered, warm and not warm ones apart. Those that
 # answered least recently are forgotten.
 MAX_KINDS = 2048
--- a/src/pollenseam/hedgedsending.py
+++ b/src/pollenseam/hedgedsending.py
@@ -159,6 +159,11 @@
                 upstream=first.choice.upstream.record.id,
                 reason=choice,
                 waited_seconds=self.now() - first.started_at,
+                region_load=hedging.region_load(
+                    active_call.pool,
+                    first.choice.upstream.region,
+                    self.now(),
+                ),
                 saved=self.policy.allowance.saved.get(
                     active_call.named_route.name
                 ),
@@ -184,8 +189,9 @@
         if self.reach_watch.reach(active_call.service).is_unreached:
             return hedging.UNREACHED
         pool = active_call.pool
-        if reason := hedging.why_busy(pool, first.choice, now):
-            return reason
+        load = hedging.region_load(pool, first.choice.upstream.region, now)
+        if load > hedging.MAX_LOAD_RATIO:
+            return hedging.BUSY
         required = hedging.second_requirements(
             first.choice, active_call.requirements()
         )
--- a/src/pollenseam/hedging.py
+++ b/src/pollenseam/hedging.py
@@ -147,16 +147,14 @@
     )
 
 
-def why_busy(pool: steering.Pool, first: steering.Choice, now: float) -> str:
-    """Returns BUSY if the upstreams beside the first are short of room."""
-    if first.wait_seconds > 0:
-        return BUSY
+def region_load(pool: steering.Pool, region: str, now: float) -> float:
+    """Returns the load of a region's upstreams, relative to their slots."""
     load = slots = 0.0
     for upstream in pool.upstreams.values():
-        if upstream.region == first.upstream.region:
+        if upstream.region == region:
             load += upstream.load(now)
             slots += max(1, upstream.record.slots)
-    return BUSY if load > MAX_LOAD_RATIO * slots else ""
+    return load / max(1.0, slots)
 
 
 def why_not(
