Requests: the target reaches the upstream byte for byte

Cause: the target was parsed into path, query and fragment, and the URL drops an empty query or fragment with its delimiter: "/submit/7?" ran as "/submit/7", "/a#x" as "/a".

Changed: targets.url puts the whole target in the path of an encoded URL, which the HTTP client writes as it is.

--- a/src/pollenseam/exchangesending.py
+++ b/src/pollenseam/exchangesending.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
-import yarl
 
 from pollenseam import connects
 from pollenseam import crashwatch
@@ -13,6 +12,7 @@
 from pollenseam import headers
 from pollenseam import sending
 from pollenseam import sessions
+from pollenseam import targets
 from pollenseam import traces
 from pollenseam import upstreams
 from pollenseam import vm
@@ -180,7 +180,7 @@
         address = reservation.upstream.record.address
         return await self.session.request(
             exchange.method,
-            yarl.URL(f"http://{address}{exchange.target}", encoded=True),
+            targets.url(address, exchange.target),
             headers=forwarded,
             data=data,
             allow_redirects=False,
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import aiohttp
-import yarl
 
 from pollenseam import attempts
 from pollenseam import calls
@@ -24,6 +23,7 @@
 from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import suspects
+from pollenseam import targets
 from pollenseam import upstreamstats
 from pollenseam import vm
 from pollenseam import waits
@@ -219,11 +219,10 @@
         headers = self.protocol.request_headers(
             call, upstream.record.id, left_seconds
         )
-        address = upstream.record.address
         active_call.connection = connects.NONE
         return await self.session.request(
             call.method,
-            yarl.URL(f"http://{address}{call.target}", encoded=True),
+            targets.url(upstream.record.address, call.target),
             headers=headers,
             data=call.body or None,
             allow_redirects=False,
--- a/src/pollenseam/targets.py
+++ b/src/pollenseam/targets.py
@@ -2,6 +2,8 @@
 
 import urllib.parse
 
+import yarl
+
 from pollenseam import errors
 
 
@@ -29,3 +31,26 @@
                 errors.Kind.MALFORMED, "the path contains dot segments"
             )
     return path
+
+
+def url(address: str, target: str) -> yarl.URL:
+    """Returns the URL that makes the HTTP client send exactly `target`.
+
+    The whole target stands in the path: a query or a fragment of its own that
+    is empty would be dropped with its delimiter.
+
+    Args:
+        address: IP:PORT of the upstream.
+        target: Request target in origin form.
+
+    Raises:
+        ValueError: The address has no port.
+    """
+    host, _, port = address.rpartition(":")
+    return yarl.URL.build(
+        scheme="http",
+        host=host,
+        port=int(port),
+        path=target,
+        encoded=True,
+    )
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -138,6 +138,7 @@
         self.received_requests = []
         self.arrived_at = []
         self.arrived_paths = []
+        self.arrived_targets = []
         self.reply_headers = {}
         self.delay_seconds = 0.0
         self.status = 200
@@ -164,6 +165,7 @@
             return web.Response(status=421, headers=reply_headers)
         self.arrived_at.append(time.monotonic())
         self.arrived_paths.append(request.path)
+        self.arrived_targets.append(request.raw_path)
         if request.path == self.deadly_path:
             task = asyncio.create_task(self.crash())
             self.tasks.add(task)
