pollenseam where: where a request would go now, and why, without sending it

Operators ask where a request of a workspace would go, and what keeps it from an upstream. `pollenseam where HOST PATH --vm IP:PORT` asks the running entry VM at its metrics address: whether the request is admitted, waits for its rate or is refused, the upstream that would get it, and each upstream's load, rank, expected times, penalty and what excludes it.

The VM runs the code that a request runs, on copies of what it would change (pool, pacers, limit on leaving a region, rankings' turn, routes' turn, the workspace's account): poolcopies, EntryVm.preview, Dispatcher.preview, LeaseClient.preview. Pool.consider yields what Pool.choose weighs.

--- a/src/pollenseam/cli.py
+++ b/src/pollenseam/cli.py
@@ -14,6 +14,7 @@
 from pollenseam import logcommands
 from pollenseam import secretcommands
 from pollenseam import settingscommands
+from pollenseam import wherecommands
 
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 5
@@ -53,6 +54,7 @@
         "add": fleetcommands.replica_add,
         "remove": fleetcommands.replica_remove,
     },
+    "where": wherecommands.where,
     "timeline": logcommands.timeline,
     "explain": logcommands.explain,
     "replay": logcommands.replay,
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -173,6 +173,17 @@
         self._spend_retry(active_call, now)
         return None
 
+    def preview(self, active_call: calls.ActiveCall) -> steering.Choice | None:
+        """Returns where a new call would be sent now, on a copy of its pool.
+
+        Returns:
+            The upstream; None if another VM would send it.
+
+        Raises:
+            RefusedError: It would be refused.
+        """
+        return self._choose_way(active_call)
+
     def _needs_helper(self, active_call: calls.ActiveCall) -> bool:
         if active_call.is_helpless:
             return False
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import copy
 import random
 import time
 
@@ -23,6 +24,7 @@
 from pollenseam import pacing
 from pollenseam import peers
 from pollenseam import peerserver
+from pollenseam import poolcopies
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import registryfollower
@@ -501,6 +503,31 @@
             call, named_route, service, pool, deadline, regions, priority
         )
 
+    def preview(self, call: calls.Call) -> calls.ActiveCall:
+        """Returns a call as it would be admitted now, without any effect.
+
+        Raises:
+            RefusedError: The call would be refused.
+        """
+        copied = copy.copy(self)
+        copied.table = copy.copy(self.table)
+        # Routes divide their traffic in turn.
+        host = call.host.lower()
+        routes = copy.deepcopy(self.table.hosts.get(host, []))
+        copied.table.hosts = {host: routes}
+        active_call = copied._admit(call)
+        active_call.pool = poolcopies.copy_pool(active_call.pool)
+        return active_call
+
+    def preview_token(self, call: calls.Call) -> bool:
+        """Returns whether a token of the rate would be taken at once."""
+        workspace = self.table.workspaces.get(call.workspace)
+        if workspace is None or workspace.rate <= 0:
+            return True
+        return self.shares.preview(
+            call.workspace, self._allowed_overdraft(workspace)
+        )
+
     def _check_key(self, call: calls.Call) -> items.Workspace:
         if not self.is_fresh():
             raise errors.refuse(
--- a/src/pollenseam/rankings.py
+++ b/src/pollenseam/rankings.py
@@ -57,6 +57,13 @@
         """Drops all rankings, as the upstreams have changed."""
         self._cached.clear()
 
+    def copy(self) -> "Rankings":
+        """Returns rankings that go on alike, without any cached one."""
+        copied = Rankings(self.region)
+        copied.home_ratio = self.home_ratio
+        copied._next_ranking = self._next_ranking
+        return copied
+
     def find(
         self,
         object: str | None,
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 from collections.abc import Callable
 
 from pollenseam import borrowing
@@ -177,6 +178,20 @@
         self.lease_table.accounts.clear()
         await self._call_leader(controlmessages.Renew(self.own_record(), []))
 
+    def preview(
+        self, resource: str, overdraft_limits: buckets.OverdraftLimits
+    ) -> bool:
+        """Returns whether `acquire` would take a token at once.
+
+        Args:
+            resource: Name of the workspace.
+            overdraft_limits: The most tokens that may be used beyond the share.
+        """
+        account = copy.deepcopy(self.lease_table.accounts.get(resource))
+        if account is None or account.waiting:
+            return False
+        return account.take(overdraft_limits, self.now())
+
     async def acquire(
         self,
         resource: str,
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -11,6 +11,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 
 from pollenseam import costs
@@ -72,6 +73,32 @@
         return self.wait_seconds + self.work_seconds
 
 
+class Considered:
+    """An upstream that was weighed for a request.
+
+    Attributes:
+        choice: The upstream with the expected times.
+        excluded: Why it must not get the request now: "region", "tried",
+            "leaving", "pause" or "rate"; "" if it may.
+        penalty_seconds: What is added to the expected time.
+        is_preferred: Whether it is in the object's preferred region.
+    """
+
+    __slots__ = ("choice", "excluded", "penalty_seconds", "is_preferred")
+
+    def __init__(
+        self,
+        choice: Choice,
+        excluded: str,
+        penalty_seconds: float,
+        is_preferred: bool,
+    ) -> None:
+        self.choice = choice
+        self.excluded = excluded
+        self.penalty_seconds = penalty_seconds
+        self.is_preferred = is_preferred
+
+
 class _Candidate:
     """A possible choice with a key to sort by.
 
@@ -226,14 +253,21 @@
         """Counts a request that must not be sent to an upstream now."""
         record = upstream.record
         stated = self.statements.find(record.id, record.started_ms)
-        reason = "rate"
-        if self.statements.is_over(record.id, record.started_ms):
-            reason = "leaving"
-        elif stated is not None and stated.paused_until > now:
-            reason = "pause"
         if stated is not None:
             stated.kept_away += 1
-        self.kept_away[reason] += 1
+        self.kept_away[self.limit_of(upstream, now)] += 1
+
+    def limit_of(
+        self, upstream: upstreamstats.UpstreamStats, now: float
+    ) -> str:
+        """Returns what keeps requests away: "leaving", "pause" or "rate"."""
+        record = upstream.record
+        stated = self.statements.find(record.id, record.started_ms)
+        if self.statements.is_over(record.id, record.started_ms):
+            return "leaving"
+        if stated is not None and stated.paused_until > now:
+            return "pause"
+        return "rate"
 
     def own_rate(
         self, upstream: upstreamstats.UpstreamStats, now: float
@@ -342,6 +376,34 @@
                 break
         return best
 
+    def consider(
+        self, required: requirements.Requirements, now: float
+    ) -> Iterator["Considered"]:
+        """Yields what speaks for and against each upstream, in their order.
+
+        Meant for a snapshot of a pool, see `snapshots.copy_pool`.
+        """
+        ranking = self.rankings.find(required.object, self.upstreams.values())
+        for rank, upstream in ranking.preferred + ranking.others:
+            wait_seconds = self.seconds_until_allowed(upstream, required, now)
+            excluded = ""
+            if required.regions and upstream.region not in required.regions:
+                excluded = "region"
+            elif not self._is_allowed(upstream, required):
+                excluded = "tried"
+            elif wait_seconds != 0.0:
+                excluded = self.limit_of(upstream, now)
+            choice = self._evaluate(upstream, rank, required, now)
+            penalty_seconds = costs.penalty_seconds(
+                upstream, rank, required, self.region, now
+            )
+            yield Considered(
+                choice,
+                excluded,
+                penalty_seconds,
+                upstream.region == ranking.preferred[0][1].region,
+            )
+
     def _is_allowed(
         self,
         upstream: upstreamstats.UpstreamStats,
