--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -114,7 +114,8 @@
     is_short = False
 
     async def handle(self, request):
-        await request.read()
+        async for _ in request.content.iter_any():
+            pass
         response = web.StreamResponse(
             headers={
                 "X-Request-Id": request.headers.get("X-Request-Id", ""),
