One budget of bytes for callers, and a bound on their connections

Cause: each body was bounded, but not all of them together, and each was held twice; connections were not bounded at all, and a reply waited whole in the connection of a caller that did not read.

budgets decides, without I/O, who is ended for room: stalled bodies first, then those of an address that uses over half, then the newest. intake and connections count bytes as they arrive: bodies, heads, what waits unread or behind another request, replies received and written. A body that is ended gets 503 with Retry-After and Connection: close before anything was sent on; the rest of it is dropped for 2 s. Idle and half-sent connections are closed, the oldest first, before descriptors run out. Bodies and replies are written in pieces and held once; kernel buffers of callers' connections end at 256 KiB; freed bodies leave the process.

--- a/src/pollenseam/entryoptions.py
+++ b/src/pollenseam/entryoptions.py
@@ -1,5 +1,23 @@
 """The options of an entry VM, of all its parts."""
 
+from pollenseam import intake
 from pollenseam import options
 
-ALL: tuple[options.Option, ...] = ()
+HELD_MEMORY_SHARE = options.Option(
+    "held_memory_share",
+    intake.HELD_SHARE,
+    0.1,
+    0.9,
+    "part of the machine's memory",
+    "how much is held for callers, bodies and replies together",
+)
+CALLER_CONNECTION_SHARE = options.Option(
+    "caller_connection_share",
+    intake.CONNECTION_SHARE,
+    0.1,
+    0.9,
+    "part of the descriptors that are not kept for files",
+    "how many connections of callers are kept",
+)
+
+ALL: tuple[options.Option, ...] = (HELD_MEMORY_SHARE, CALLER_CONNECTION_SHARE)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -13,6 +13,7 @@
 from pollenseam import dispatcher
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import intake
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import links
@@ -242,6 +243,14 @@
         self.options.adopt(settings.options)
         self.follower.place = _place(settings)
 
+    def bound_replies(self, server_intake: intake.Intake) -> None:
+        """Counts replies of upstreams with what is held for callers."""
+        buffers = self.dispatcher.sender.reply_buffers
+        buffers.intake = server_intake
+        buffers.max_total_bytes = min(
+            buffers.max_total_bytes, server_intake.budget.max_bytes
+        )
+
     def _upstream_addresses(self, service: str) -> dict[str, str]:
         pool = self.pools.get(service)
         upstreams = pool.upstreams if pool is not None else {}
--- a/src/pollenseam/frontend.py
+++ b/src/pollenseam/frontend.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from pollenseam import announcing
+from pollenseam import bodies
 from pollenseam import catalog
 from pollenseam import commands
 from pollenseam import errors
@@ -333,7 +334,7 @@
         limit = exchange.route.service.max_body_bytes
         try:
             async with asyncio.timeout_at(vm.loop_deadline(exchange.deadline)):
-                exchange.body = await _read_body(request, limit)
+                exchange.body = await bodies.read(request, limit)
         except TimeoutError:
             raise errors.refuse(
                 errors.Kind.DEADLINE, "the body did not arrive in time", "no"
@@ -494,20 +495,6 @@
         )
 
 
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size > limit:
-            raise errors.refuse(
-                errors.Kind.BODY_TOO_LARGE,
-                f"the body is larger than {limit} bytes",
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def _response(
     status: int,
     reason: str | None,
--- a/src/pollenseam/httpserver.py
+++ b/src/pollenseam/httpserver.py
@@ -1,7 +1,6 @@
 """HTTP server whose planned stop answers every request that has arrived."""
 
 import asyncio
-import select
 import socket
 import ssl
 import weakref
@@ -11,17 +10,25 @@
 
 from aiohttp import web
 
+from pollenseam import connections
 from pollenseam import headerbytes
+from pollenseam import intake
 
 BACKLOG = 1024
+# Connections accepted in one turn of the event loop; those that are shed for
+# them are closed by the next turn.
+ACCEPTED_PER_TURN = 32
+# Bytes of a body that wait in a connection until they are read; twice that
+# stops the receipt.
+UNREAD_BYTES = 64 * 1024
+# Time for which the rest of a refused body is read and dropped, so that the
+# caller gets the refusal.
+LINGERING_SECONDS = 2.0
+# Bounds of a server for which none are given.
+MAX_HELD_BYTES = 150_000_000
+MAX_CONNECTIONS = 2340
 # Interval at which a stopping server looks for idle connections.
 SWEEP_SECONDS = 0.02
-# A stopping server waits this long for the first request on a new connection,
-# its TLS handshake included, and for the rest of a head.
-FIRST_REQUEST_SECONDS = 1.0
-HEAD_SECONDS = 3.0
-# Time within which a caller must take note of the close of a TLS connection.
-TLS_CLOSE_SECONDS = 1.0
 # Turns of the event loop within which an accepted connection is known.
 ACCEPT_TURNS = 4
 # Time for cancelled handlers to end.
@@ -30,96 +37,6 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class Request(web.BaseRequest):
-    """A request, whose response may have to close its connection."""
-
-    @property
-    def keep_alive(self) -> bool:
-        """Whether the connection stays open after the response."""
-        connection = self.protocol
-        assert isinstance(connection, Connection)
-        is_last = connection.server.closes_connections
-        return not (is_last or self._message.should_close)
-
-
-def _make_request(
-    message: Any,
-    payload: Any,
-    protocol: Any,
-    writer: Any,
-    task: "asyncio.Task[None]",
-) -> Request:
-    loop = asyncio.get_running_loop()
-    return Request(message, payload, protocol, writer, task, loop)
-
-
-class Connection(web.RequestHandler):
-    """A caller's connection, and whether a request is arriving on it.
-
-    Attributes:
-        server: The server that accepted the connection.
-        head_deadline: Time, in seconds of the event loop, until which the head
-            of a request is expected or the rest of one that is arriving.
-    """
-
-    __slots__ = ("server", "head_deadline", "__weakref__")
-
-    def __init__(self, server: "HttpServer", **options: Any) -> None:
-        super().__init__(server.web_server, **options)
-        self.server = server
-        self.head_deadline = _time() + FIRST_REQUEST_SECONDS
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts to handle requests."""
-        super().connection_made(transport)
-        self.head_deadline = _time() + FIRST_REQUEST_SECONDS
-        self.server.record_made(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
-        super().data_received(data)
-        if data:
-            is_partial = self._is_waiting
-            self.head_deadline = _time() + HEAD_SECONDS if is_partial else 0.0
-
-    @property
-    def _is_waiting(self) -> bool:
-        """Whether aiohttp waits for the next head.
-
-        It does not from the moment at which a head has been read until its
-        response is written.
-        """
-        return self._waiter is not None and not self._waiter.done()
-
-    def is_idle(self, now: float) -> bool:
-        """Returns whether no request is in progress, arriving or expected."""
-        return self._is_waiting and now >= self.head_deadline
-
-    def has_unread_bytes(self) -> bool:
-        """Returns whether bytes, or an end of file, have arrived unread."""
-        transport = self.transport
-        sock = transport.get_extra_info("socket") if transport else None
-        if sock is None or sock.fileno() < 0:
-            # The end of the connection is about to be reported.
-            return True
-        poll = select.poll()
-        poll.register(sock, select.POLLIN)
-        return bool(poll.poll(0))
-
-    def close_idle(self) -> None:
-        """Closes the connection, on which no request is in progress."""
-        transport = self.transport
-        self.force_close()
-        if transport is not None and self.server.tls is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(TLS_CLOSE_SECONDS, _abort_if_sent, transport)
-
-
-def _abort_if_sent(transport: asyncio.Transport) -> None:
-    if transport.get_write_buffer_size() == 0:
-        transport.abort()
-
-
 class HttpServer:
     """An HTTP server on one address.
 
@@ -127,6 +44,7 @@
         web_server: Runs the handler.
         listener: Accepts connections, or None before `listen`.
         tls: TLS settings, or None for plain text.
+        intake: Bounds what callers' connections hold.
         closes_connections: Whether responses close their connections.
         is_closed: Whether no further request is accepted.
     """
@@ -137,6 +55,7 @@
         idle_seconds: float,
         max_field_bytes: int,
         max_headers: int,
+        server_intake: intake.Intake | None = None,
     ) -> None:
         """Creates a server that doesn't listen yet.
 
@@ -145,11 +64,15 @@
             idle_seconds: Time after which an idle connection is closed.
             max_field_bytes: Maximum size of the request line and of a header.
             max_headers: Maximum number of headers.
+            server_intake: Bounds what callers' connections hold.
         """
         headerbytes.install()
+        self.intake = server_intake or intake.Intake(
+            MAX_HELD_BYTES, MAX_CONNECTIONS
+        )
         self.web_server = web.Server(
             handler,
-            request_factory=_make_request,
+            request_factory=connections.make_request,
             handler_cancellation=True,
         )
         self.listener: asyncio.Server | None = None
@@ -160,13 +83,17 @@
             "access_log": None,
             "auto_decompress": False,
             "keepalive_timeout": idle_seconds,
+            "lingering_time": LINGERING_SECONDS,
+            "read_bufsize": UNREAD_BYTES,
             "max_line_size": max_field_bytes,
             "max_field_size": max_field_bytes,
             "max_headers": max_headers,
         }
         self._socket: socket.socket | None = None
         # Weak references, as a failed TLS handshake is not reported.
-        self._opening: weakref.WeakSet[Connection] = weakref.WeakSet()
+        self._opening: weakref.WeakSet[connections.Connection] = (
+            weakref.WeakSet()
+        )
         self._accepting: set[asyncio.Task[Any]] = set()
         self._sweeping: asyncio.Task[None] | None = None
 
@@ -185,24 +112,37 @@
             (host, port), family=family, backlog=BACKLOG
         )
         self._socket.setblocking(False)
+        # Accepted connections inherit them.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            size = self.intake.kernel_buffer_bytes
+            self._socket.setsockopt(socket.SOL_SOCKET, option, size)
         self.listener = await loop.create_server(
             self._make_connection,
             sock=self._socket,
-            backlog=BACKLOG,
+            backlog=ACCEPTED_PER_TURN,
             ssl=tls,
         )
+        self._socket.listen(BACKLOG)
 
-    def _make_connection(self) -> Connection:
+    def _make_connection(self) -> connections.Connection:
         loop = asyncio.get_running_loop()
-        connection = Connection(self, loop=loop, **self._options)
+        connection = connections.Connection(self, loop=loop, **self._options)
         self._opening.add(connection)
         return connection
 
-    def record_made(self, connection: Connection) -> None:
+    def record_made(self, connection: connections.Connection) -> None:
         """Records that a connection can be used."""
         self._opening.discard(connection)
         if self.is_closed:
             connection.force_close()
+        elif len(self.web_server.connections) > self.intake.max_connections:
+            self.intake.shed(self._others(connection))
+
+    def _others(
+        self, connection: connections.Connection
+    ) -> list[connections.Connection]:
+        known: Any = self.web_server.connections
+        return [c for c in known if c is not connection]
 
     def stop_accepting(self) -> tuple[int, int]:
         """Accepts no more connections, and closes those that are idle.
@@ -274,7 +214,7 @@
         now = _time()
         closed = 0
         for connection in self.web_server.connections:
-            assert isinstance(connection, Connection)
+            assert isinstance(connection, connections.Connection)
             if connection.is_idle(now) and not connection.has_unread_bytes():
                 connection.close_idle()
                 closed += 1
--- a/src/pollenseam/relayedexchanges.py
+++ b/src/pollenseam/relayedexchanges.py
@@ -118,5 +118,5 @@
         finally:
             self.forwarder.finish(streaming, is_complete)
         return calls.Reply(
-            response.status, response.reason, response.headers, bytes(body)
+            response.status, response.reason, response.headers, body
         )
--- a/src/pollenseam/replybuffers.py
+++ b/src/pollenseam/replybuffers.py
@@ -1,7 +1,12 @@
 """Memory that an entry VM uses for replies that it is still receiving."""
 
+import io
+
 import aiohttp
 
+from pollenseam import budgets
+from pollenseam import intake
+
 MAX_TOTAL_BYTES = 64 * 1024 * 1024
 
 
@@ -15,30 +20,48 @@
     Attributes:
         max_total_bytes: Memory for all bodies together.
         total_bytes: Memory in use.
+        intake: Bounds all that the process holds for callers, or None.
     """
 
-    __slots__ = ("max_total_bytes", "total_bytes")
+    __slots__ = ("max_total_bytes", "total_bytes", "intake")
 
     def __init__(self, max_total_bytes: int = MAX_TOTAL_BYTES) -> None:
         self.max_total_bytes = max_total_bytes
         self.total_bytes = 0
+        self.intake: intake.Intake | None = None
 
-    async def read(self, response: aiohttp.ClientResponse) -> bytearray:
+    async def read(self, response: aiohttp.ClientResponse) -> bytes:
         """Returns a response's complete body.
 
         Raises:
             ValueError: The body is larger than the memory that is left.
         """
-        body = bytearray()
-        try:
-            async for chunk in response.content.iter_any():
-                body += chunk
-                self.total_bytes += len(chunk)
-                if len(body) > self.max_total_bytes - self.total_bytes:
-                    raise ValueError(
-                        f"the response has more than {len(body)} bytes; "
-                        f"{self.total_bytes} are in use for all replies"
-                    )
-        finally:
-            self.total_bytes -= len(body)
-        return body
+        # Its value is taken over without a copy.
+        with io.BytesIO() as body:
+            try:
+                await self._receive(response, body)
+            finally:
+                self._count(-body.tell())
+            return body.getvalue()
+
+    async def _receive(
+        self, response: aiohttp.ClientResponse, body: io.BytesIO
+    ) -> None:
+        async for chunk in response.content.iter_any():
+            self._count(body.write(chunk))
+            size = body.tell()
+            if size > self.max_total_bytes - self.total_bytes or (
+                size > budgets.SMALL_BYTES and not self._has_room()
+            ):
+                raise ValueError(
+                    f"the response has more than {size} bytes; "
+                    f"{self.total_bytes} are in use for all replies"
+                )
+
+    def _count(self, change: int) -> None:
+        self.total_bytes += change
+        if self.intake is not None:
+            self.intake.add_reply(change)
+
+    def _has_room(self) -> bool:
+        return self.intake is None or self.intake.has_room()
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -17,6 +17,7 @@
 from pollenseam import events
 from pollenseam import links
 from pollenseam import metrics
+from pollenseam import payloads
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import replybuffers
@@ -225,7 +226,7 @@
             call.method,
             yarl.URL(f"http://{address}{call.target}", encoded=True),
             headers=headers,
-            data=call.body or None,
+            data=payloads.create(call.body) or None,
             allow_redirects=False,
             timeout=self.connect_timeout(),
             trace_request_ctx=functools.partial(
@@ -318,7 +319,7 @@
             )
             return None
         reply = calls.Reply(
-            response.status, response.reason, response.headers, bytes(body)
+            response.status, response.reason, response.headers, body
         )
         return self._evaluate_reply(active_call, choice, reply, started)
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -36,6 +36,7 @@
     Attributes:
         peak_bytes: Largest sum of resident memory and of the bytes that the
             kernel holds unread or unsent for the process.
+        peak_kernel_bytes: Largest part of it that the kernel held.
         peak_sockets: Largest number of open sockets.
     """
 
@@ -43,12 +44,15 @@
         self.machine = machine
         self.folder = pathlib.Path(f"/proc/{machine.process.pid}")
         self.peak_bytes = 0
+        self.peak_kernel_bytes = 0
         self.peak_sockets = 0
 
     def sample(self):
         with contextlib.suppress(FileNotFoundError, ProcessLookupError):
-            resident = self.peak_resident_bytes() + self.kernel_bytes()
+            kernel = self.kernel_bytes()
+            resident = self.peak_resident_bytes() + kernel
             self.peak_bytes = max(self.peak_bytes, resident)
+            self.peak_kernel_bytes = max(self.peak_kernel_bytes, kernel)
             self.peak_sockets = max(self.peak_sockets, self.sockets())
 
     def peak_resident_bytes(self):
@@ -95,7 +99,10 @@
 
     def check(self, memory_mb, max_sockets):
         """Asserts that the process lives and stayed inside its machine."""
-        figures = f"{self.peak_bytes / MB:.0f} MB, {self.peak_sockets} sockets"
+        figures = (
+            f"{self.peak_bytes / MB:.0f} MB, in the kernel up to "
+            f"{self.peak_kernel_bytes / MB:.0f} MB, {self.peak_sockets} sockets"
+        )
         print(f"{self.machine.name}: {figures}")
         assert self.machine.process.returncode is None
         assert self.peak_bytes <= memory_mb * MB, figures
