Order under scarcity: entry VMs, renewals, options and metrics

A call is checked after its token was taken, so a workspace over its rate is refused first and is no demand. Renewals carry the load of services that turned requests away, the answers the region's demand and room, both as fields at the end. It applies where the items state different priorities for one service's requests.

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -221,6 +221,7 @@
             this VM reaches no upstream.
         is_helpless: Whether no other VM could send the call.
         has_retry: Whether the next attempt's retry was taken from the budget.
+        found_no_room: Whether an upstream had no room for the call.
     """
 
     __slots__ = (
@@ -244,6 +245,7 @@
         "needs_helper",
         "is_helpless",
         "has_retry",
+        "found_no_room",
         "_fingerprint",
     )
 
@@ -277,6 +279,7 @@
         self.needs_helper = False
         self.is_helpless = False
         self.has_retry = False
+        self.found_no_room = False
         self._fingerprint = b""
 
     @property
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -299,6 +299,8 @@
                 f"{choice.upstream.load(now):.3g}, "
                 f"{left_seconds:.3g} s are left"
             )
+            if choice.wait_seconds > 0:
+                active_call.found_no_room = True
             raise self._final_refusal(
                 active_call, why, choice.excess_wait_seconds
             )
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -23,6 +23,7 @@
 from pollenseam import pacing
 from pollenseam import peers
 from pollenseam import peerserver
+from pollenseam import rankwatch
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import registryfollower
@@ -131,6 +132,7 @@
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
         fleet_view: Observations at upstreams, shared by all VMs.
+        rank_watch: Gives scarce room to calls by their rank.
         shares: Leased shares of the workspaces' rates.
         statement_watch: Follows what upstreams state in their responses.
         reach_watch: Follows which services this VM reaches.
@@ -172,6 +174,10 @@
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = workestimates.WorkEstimates()
         self.fleet_view = observations.FleetView()
+        self.metrics = metrics.EntryMetrics()
+        self.rank_watch = rankwatch.RankWatch(
+            self.options, log, self.metrics, self.now
+        )
         self.shares = shares.LeaseClient(
             log,
             peer_client,
@@ -180,8 +186,8 @@
             self.fleet_view,
             self._log_statements,
             lambda: self.follower.directory.controls,
+            self.rank_watch.order,
         )
-        self.metrics = metrics.EntryMetrics()
         self.statement_watch = statementwatch.StatementWatch(
             self.fleet_view.statements, log, self.now, self.metrics.statements
         )
@@ -362,6 +368,7 @@
             for name, workspace in self.table.workspaces.items()
             if workspace.rate > 0
         ]
+        self.rank_watch.adopt_table(self.table)
         self.shares.lease_table.set_resources(limited, self.now())
         self.shares.wake.set()
 
@@ -389,6 +396,7 @@
                     self.fleet_view.statements,
                 )
             pool.update(records, settings.regions, now)
+            self.rank_watch.order.slots[name] = sum(r.slots for r in records)
             self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
@@ -457,7 +465,8 @@
         try:
             active_call = self._admit(call)
             await self._take_token(call, active_call.deadline)
-            reply = await self.dispatcher.dispatch(active_call)
+            self.rank_watch.check(active_call)
+            reply = await self._dispatch(active_call)
             self.link.send(len(reply.body), self.now())
             self.answer_log.record_reply(call, reply.status)
             return reply
@@ -470,6 +479,13 @@
         finally:
             self.in_flight -= 1
 
+    async def _dispatch(self, active_call: calls.ActiveCall) -> calls.Reply:
+        try:
+            return await self.dispatcher.dispatch(active_call)
+        except errors.RefusedError as error:
+            self.rank_watch.record_refusal(active_call, error.refusal)
+            raise
+
     def _admit(self, call: calls.Call) -> calls.ActiveCall:
         if self.registry.index == 0 or self.follower.freshness.as_of is None:
             raise errors.refuse(
@@ -548,6 +564,7 @@
 
     def expose(self) -> str:
         """Returns all metrics in the text exposition format."""
+        self.rank_watch.update_gauges()
         upstreams = sum(len(pool.upstreams) for pool in self.pools.values())
         exposition = self.metrics.expose(
             {
@@ -560,6 +577,7 @@
                 "upstreams": upstreams,
                 "step_failures": self._tasks.failures,
                 "entry_vms": len(self.follower.directory.entries),
+                "dropped_rooms": self.rank_watch.order.refused_count,
                 **self._statement_gauges(),
                 **self.reach_watch.gauges(),
             }
--- a/src/pollenseam/metrics.py
+++ b/src/pollenseam/metrics.py
@@ -55,6 +55,30 @@
             yield f"pollenseam_{self.name}{_format_labels(pairs)} {count}"
 
 
+class Gauge:
+    """A gauge with labels, of which a few series exist at a time.
+
+    Attributes:
+        name: Name of the metric, without the prefix "pollenseam_".
+        labels: Names of the labels.
+        values: Values by label values.
+    """
+
+    __slots__ = ("name", "labels", "values")
+
+    def __init__(self, name: str, *labels: str) -> None:
+        self.name = name
+        self.labels = labels
+        self.values: dict[tuple[str, ...], float] = {}
+
+    def lines(self) -> Iterator[str]:
+        """Yields the lines of the metric in the Prometheus text format."""
+        yield f"# TYPE pollenseam_{self.name} gauge"
+        for values, value in sorted(self.values.items())[:MAX_SERIES]:
+            pairs = zip(self.labels, values, strict=True)
+            yield f"pollenseam_{self.name}{_format_labels(pairs)} {value:.6g}"
+
+
 class Summary:
     """A summary of latencies with one label and at most MAX_SERIES series.
 
@@ -118,6 +142,10 @@
         connects: Connections to upstreams, by service and outcome.
         relays: Calls given to other VMs, by service and outcome.
         statements: What upstreams stated, by kind and outcome.
+        refused_ranks: Requests refused for lack of room, by service, rank and
+            reason: "rank", "fair-share" or "no-room".
+        admitted_ratios: Part (0 to 1) of the demand that is admitted, by
+            service and rank; only of services that are short of room.
         latencies: Time from arrival to the upstream's response, by route.
         refusal_latencies: Time from arrival to a refusal, by error kind.
         apply_latencies: Time to put a change of the registry in force, by
@@ -131,6 +159,8 @@
         "connects",
         "relays",
         "statements",
+        "refused_ranks",
+        "admitted_ratios",
         "latencies",
         "refusal_latencies",
         "apply_latencies",
@@ -143,6 +173,10 @@
         self.connects = Counter("connects_total", "service", "outcome")
         self.relays = Counter("relays_total", "service", "outcome")
         self.statements = Counter("statements_total", "kind", "outcome")
+        self.refused_ranks = Counter(
+            "refused_ranks_total", "service", "rank", "reason"
+        )
+        self.admitted_ratios = Gauge("admitted_ratio", "service", "rank")
         self.latencies = Summary("latency_seconds", "route")
         self.refusal_latencies = Summary("refusal_held_seconds", "kind")
         self.apply_latencies = Summary("registry_apply_seconds", "content")
@@ -160,6 +194,8 @@
             self.attempts,
             self.answers,
             self.workspaces,
+            self.refused_ranks,
+            self.admitted_ratios,
         )
         latencies = (
             self.latencies,
@@ -207,13 +243,13 @@
 
 
 def format_exposition(
-    gauges: dict[str, float], parts: Iterable[Counter | Summary]
+    gauges: dict[str, float], parts: Iterable[Counter | Gauge | Summary]
 ) -> str:
     """Returns gauges, counters and summaries in the Prometheus text format.
 
     Args:
         gauges: Values of gauges, by name without the prefix.
-        parts: Counters and summaries.
+        parts: Metrics with labels.
     """
     lines = list(_format_gauges(gauges))
     for part in parts:
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from pollenseam import crashes
+from pollenseam import scarcityboard
+from pollenseam import scarcitymessages
 from pollenseam import suspects
 from pollenseam import upstreamstatements
 
@@ -37,6 +39,7 @@
         crashed_runs: Requests that an upstream had when it ended.
         succeeded: Fingerprints of suspects that ran successfully.
         blocks: Blocks that the VM knows, if the leader may be new.
+        loads: What the VM saw of services that may be short of room.
     """
 
     known: Revisions = Revisions()
@@ -44,6 +47,7 @@
     crashed_runs: tuple[crashes.CrashReport, ...] = ()
     succeeded: tuple[bytes, ...] = ()
     blocks: tuple[crashes.Suspicion, ...] = ()
+    loads: tuple[scarcitymessages.ServiceLoad, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True):
@@ -53,11 +57,28 @@
         revisions: What the VM has received with this update.
         statements: Statements of upstreams that changed since.
         suspicions: Suspected requests that changed since.
+        rooms: Services that may be short of room in the VM's region.
     """
 
     revisions: Revisions
     statements: list[upstreamstatements.Statement]
     suspicions: list[crashes.Suspicion]
+    rooms: list[scarcitymessages.ServiceRoom] = []
+
+
+class Sender:
+    """The entry VM that sends a report.
+
+    Attributes:
+        name: Name of the VM.
+        region: Region of the VM.
+    """
+
+    __slots__ = ("name", "region")
+
+    def __init__(self, name: str, region: str) -> None:
+        self.name = name
+        self.region = region
 
 
 class FleetView:
@@ -76,12 +97,18 @@
         self.watchlist = suspects.Watchlist()
         self.known = Revisions()
 
-    def build_report(self, is_full: bool, now: float) -> Report:
+    def build_report(
+        self,
+        is_full: bool,
+        now: float,
+        loads: tuple[scarcitymessages.ServiceLoad, ...] = (),
+    ) -> Report:
         """Returns the report of the next renewal.
 
         Args:
             is_full: Whether to send all records, as the leader may be new.
             now: Time in seconds.
+            loads: Loads of services that may be short of room.
         """
         watchlist = self.watchlist
         watchlist.expire(now)
@@ -91,6 +118,7 @@
             tuple(watchlist.reports(is_full, now)),
             tuple(watchlist.succeeded),
             tuple(watchlist.blocks(now)) if is_full else (),
+            loads,
         )
 
     def receive(
@@ -117,17 +145,32 @@
         blocklist: Requests that may crash upstreams.
         on_block: Called with the fingerprint of each request that is
             blocked.
+        scarcity_board: Loads of services that may be short of room.
     """
 
-    __slots__ = ("statements", "blocklist", "on_block")
+    __slots__ = ("statements", "blocklist", "on_block", "scarcity_board")
 
     def __init__(self, on_block: Callable[[bytes], None]) -> None:
         self.statements = upstreamstatements.Table()
         self.blocklist = crashes.Blocklist()
         self.on_block = on_block
+        self.scarcity_board = scarcityboard.Board()
+
+    def answer(
+        self,
+        report: Report,
+        term: int,
+        now: float,
+        sender: Sender | None = None,
+    ) -> Update:
+        """Adopts a VM's report and returns what the VM does not know.
 
-    def answer(self, report: Report, term: int, now: float) -> Update:
-        """Adopts an entry VM's report and returns what it does not know."""
+        Args:
+            report: What the VM observed.
+            term: Term of this leader.
+            now: Time in seconds.
+            sender: The entry VM; None if the VM shares no room.
+        """
         self.statements.adopt(report.statements, now)
         self._adopt_crashes(report, now)
         known = report.known if report.known.term == term else Revisions()
@@ -140,8 +183,18 @@
             revisions,
             self.statements.changes_since(known.statements, now),
             self.blocklist.changes_since(known.crashes, now),
+            self._exchange_loads(report, sender, now),
         )
 
+    def _exchange_loads(
+        self, report: Report, sender: Sender | None, now: float
+    ) -> list[scarcitymessages.ServiceRoom]:
+        if sender is None:
+            return []
+        board = self.scarcity_board
+        board.record(sender.name, sender.region, report.loads, now)
+        return board.rooms(sender.region, now)
+
     def _adopt_crashes(self, report: Report, now: float) -> None:
         blocklist = self.blocklist
         blocklist.expire(now)
--- a/src/pollenseam/renewals.py
+++ b/src/pollenseam/renewals.py
@@ -112,6 +112,8 @@
         self.counter.add("learning" if is_recovering else "lent")
         scarce = lender.scarce_resources(limits, now)
         term = runner.replica.hard_state.term
+        entry = request.entry
+        sender = observations.Sender(entry.name, entry.region)
         return messages.LeaseResponse(
             ttl_ms,
             "",
@@ -119,7 +121,7 @@
             0,
             scarce,
             is_recovering,
-            self.board.answer(request.observed, term, now),
+            self.board.answer(request.observed, term, now, sender),
         )
 
     def _valid_demands(
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -303,6 +303,7 @@
             return None
         if head.is_not_run:
             upstream.record_shed(now)
+            active_call.found_no_room = True
             self.attempt_log.record_not_run(
                 active_call, upstream, "shed", started
             )
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -14,7 +14,9 @@
 from pollenseam import links
 from pollenseam import messages
 from pollenseam import observations
+from pollenseam import options
 from pollenseam import peers
+from pollenseam import rankorder
 from pollenseam import replicarunner
 from pollenseam import upstreamstatements
 
@@ -40,6 +42,8 @@
         fleet_view: Observations at upstreams that renewals carry.
         on_statements: Called with the statements of other VMs that changed
             the rate in force of an upstream.
+        order: Order of requests where room is scarce; its loads go with the
+            renewals.
         lease_table: Accounts by workspace.
         borrower: Borrows tokens while the leader does not lend.
         link: Network link of this VM.
@@ -56,6 +60,7 @@
         fleet_view: observations.FleetView,
         on_statements: Callable[[list[upstreamstatements.Statement]], None],
         find_controls: borrowing.FindControls,
+        order: rankorder.RankOrder | None = None,
     ) -> None:
         self.log = log
         self.peers = peer_client
@@ -63,6 +68,7 @@
         self.own_record = own_record
         self.fleet_view = fleet_view
         self.on_statements = on_statements
+        self.order = order or rankorder.RankOrder(options.Options(), now)
         self.lease_table = buckets.LeaseTable()
         self.borrower = borrowing.Borrower(
             log, peer_client, now, find_controls, self._adopt_leader
@@ -114,7 +120,9 @@
             self.own_record(),
             demands,
             is_complete=is_full,
-            observed=self.fleet_view.build_report(is_full, sent_at),
+            observed=self.fleet_view.build_report(
+                is_full, sent_at, self.order.build_report()
+            ),
         )
         self.borrower.record_sent()
         answer = await self._call_leader(request)
@@ -130,6 +138,7 @@
                 request.observed, answer.observed, now
             )
             self.on_statements(changed)
+            self.order.adopt(answer.observed.rooms, sent_at)
             self._log_observations(answer.observed)
         self.borrower.record_answer(self.leader)
         self._synced_leader = ""
