A workspace far over its rate is refused at once and returns spread in time

Cause: on the small twin 1,999 of 2,099 logged over-rate refusals were of one workspace that asked for six times its share (47/s at a VM with 8.4/s). Each was held 0.26 s for a token that others ahead got, and told to return after 0.2 s. Now those beyond twice what the share yields in that wait are refused at once, and return over up to 4 s. Only while the lender answers and says that its pool is low; otherwise as before.

Tests: test_overrates, test_rates_at_takeover.

--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable
 
 from pollenseam import borrowing
@@ -15,6 +16,7 @@
 from pollenseam import messages
 from pollenseam import observations
 from pollenseam import options
+from pollenseam import overrates
 from pollenseam import peers
 from pollenseam import rankorder
 from pollenseam import replicarunner
@@ -210,6 +212,8 @@
             if account.overdraft > 0:
                 self.wake.set()
             return
+        if overrates.is_hopeless(account, TOKEN_WAIT_SECONDS, self.now()):
+            raise self._over_rate(account, limit)
         account.waiting += 1
         self.wake.set()
         try:
@@ -226,11 +230,19 @@
                 errors.Kind.NO_QUORUM,
                 "this VM has no leased share of the workspace's rate",
             )
-        share = account.bucket.held(self.now())
-        raise errors.refuse(
+        raise self._over_rate(account, limit)
+
+    def _over_rate(
+        self, account: buckets.Account, limit: leases.Limit
+    ) -> errors.RefusedError:
+        """Returns the refusal of a request over its workspace's rate."""
+        now = self.now()
+        share = account.bucket.held(now)
+        spread = overrates.spread_seconds(account, random.random(), now)
+        return errors.refuse(
             errors.Kind.OVER_RATE,
             f"over the rate: {account.demand.rate:.3g}/s here, share "
             f"{share.rate:.3g}/s and {share.burst:.3g} of "
             f"{limit.rate:g}/s and {limit.burst:g}",
-            retry_after=max(0.2, 1 / limit.rate),
+            retry_after=max(0.2, 1 / limit.rate) + spread,
         )
