Fair shares: only demand beyond twice the usual gives way

Cause: on the small twin two large workspaces near their usual were admitted less than their rank (0.35 of requests where the rank had 0.78), as weights by usual demand also count how a wave or moved clients change the mix at one VM. Now demand up to twice the usual is refused alike for all workspaces, and what is beyond gives way first. The test's bounds for a workspace at seven times its usual hold unchanged.

--- a/src/pollenseam/fairshares.py
+++ b/src/pollenseam/fairshares.py
@@ -1,7 +1,7 @@
 """Fair shares of scarce room between the workspaces of one rank.
 
-A workspace's weight is its usual demand, so that one that asks for several
-times its usual does not take the room of others.
+A workspace that asks for several times its usual demand does not take the room
+of others; those near their usual share alike, whatever their size.
 """
 
 import math
@@ -54,25 +54,25 @@
 
 
 def divide(
-    demands: Mapping[str, float], weights: Mapping[str, float], room: float
+    demands: Mapping[str, float], limits: Mapping[str, float], room: float
 ) -> dict[str, float]:
     """Returns the part (0 to 1) of each demand that is admitted.
 
-    Shares are in proportion to the weights; what a workspace does not need is
-    divided between the others.
+    Demand up to its limit goes before all demand beyond the limits.
 
     Args:
         demands: Work per second by workspace, above 0.
-        weights: Weight of each workspace, above 0.
+        limits: Work per second up to which each demand is usual.
         room: Work per second that is admitted of all together.
     """
-    parts: dict[str, float] = {}
-    left_weight = sum(weights[key] for key in demands)
-    left = room
-    for key in sorted(demands, key=lambda key: demands[key] / weights[key]):
-        share = max(0.0, left) * weights[key] / left_weight
-        admitted = min(demands[key], share)
-        parts[key] = admitted / demands[key]
-        left -= admitted
-        left_weight -= weights[key]
-    return parts
+    usual = {key: min(work, limits[key]) for key, work in demands.items()}
+    usual_total = sum(usual.values())
+    beyond_total = sum(demands.values()) - usual_total
+    usual_part = min(1.0, room / usual_total) if usual_total > 0 else 1.0
+    left = max(0.0, room - usual_total)
+    beyond_part = min(1.0, left / beyond_total) if beyond_total > 0 else 1.0
+    return {
+        key: (usual[key] * usual_part + (work - usual[key]) * beyond_part)
+        / work
+        for key, work in demands.items()
+    }
--- a/src/pollenseam/rankorder.py
+++ b/src/pollenseam/rankorder.py
@@ -33,9 +33,11 @@
 # Word of the leader that is older is not followed.
 WORD_SECONDS = 2.0
 REFRESH_SECONDS = 0.25
-# Requests by which a workspace may exceed its usual demand in the window of a
-# tally: single requests arrive by chance.
-CHANCE_REQUESTS = 0.5
+# Demand of a workspace, relative to its usual, up to which nobody goes before
+# it: callers also move between VMs.
+USUAL_RATIO = 2.0
+# Time without a shortage after which a VM knows what is usual.
+MIN_CALM_SECONDS = 5.0
 MAX_SERVICES = 64
 
 
@@ -183,20 +185,22 @@
             if rank_part >= 1.0:
                 continue
             room = rank_part * sum(by_workspace.values())
-            weights = self._weights(rank, by_workspace)
-            shares = fairshares.divide(by_workspace, weights, room)
+            limits = self._limits(rank, by_workspace)
+            shares = fairshares.divide(by_workspace, limits, room)
             for workspace, part in shares.items():
                 parts[rank, workspace] = part
         return parts
 
-    def _weights(
-        self, rank: int, demands: dict[str, float]
-    ) -> dict[str, float]:
-        # The least demand is that of a single request in the window.
-        by_chance = CHANCE_REQUESTS * min(demands.values())
+    def _limits(self, rank: int, demands: dict[str, float]) -> dict[str, float]:
+        """Returns the work per second up to which demands are usual."""
+        if self.calm_seconds < MIN_CALM_SECONDS:
+            return demands
+        # The least demand is that of a single request, which comes by chance.
+        by_chance = min(demands.values())
         return {
             workspace: by_chance
-            + self.usual.rate(_usual_key(rank, workspace), self.calm_seconds)
+            + USUAL_RATIO
+            * self.usual.rate(_usual_key(rank, workspace), self.calm_seconds)
             for workspace in demands
         }
 
