--- a/src/pollenseam/entryoptions.py
+++ b/src/pollenseam/entryoptions.py
@@ -3,6 +3,7 @@
 from pollenseam import hedging
 from pollenseam import intake
 from pollenseam import options
+from pollenseam import rankorder
 
 HELD_MEMORY_SHARE = options.Option(
     "held_memory_share",
@@ -25,4 +26,6 @@
     HELD_MEMORY_SHARE,
     CALLER_CONNECTION_SHARE,
     hedging.RATIO,
+    rankorder.STRENGTH,
+    rankorder.FLOOR,
 )
