A reserve is lent once in a window, also when keepers die

Cause: each of the two keepers of a workspace's reserve had the whole of it. Entry VMs went on to the second where the first was the leader or did not answer, and what a keeper had lent was only in its memory: one that was killed lent the reserve again.

Entry VMs ask the second also where the first has nothing to lend, and a leader that answers counts as a first keeper. Messages are unchanged.

--- a/src/pollenseam/borrowing.py
+++ b/src/pollenseam/borrowing.py
@@ -87,9 +87,11 @@
         """Returns whether the leader lends nothing, and did so lately."""
         if not account.is_current(now):
             return False
+        return self._is_leader_silent(now) or now < self.borrows_until
+
+    def _is_leader_silent(self, now: float) -> bool:
         since = self.unanswered_since
-        is_silent = since is not None and now - since >= SILENT_SECONDS
-        return is_silent or now < self.borrows_until
+        return since is not None and now - since >= SILENT_SECONDS
 
     async def _borrow(self, resource: str, account: buckets.Account) -> None:
         try:
@@ -103,7 +105,7 @@
         wanted = float(account.waiting)
         request = controlmessages.Borrow(resource, wanted)
         for address in reserves.keepers(resource, self.find_controls()):
-            if address == self._leader:
+            if address == self._leader and self._is_leader_silent(self.now()):
                 continue
             try:
                 response: controlmessages.BorrowResponse = (
@@ -117,7 +119,8 @@
             except errors.UnreachableError:
                 continue
             self._receive(resource, account, wanted, response)
-            return
+            if response.tokens > 0:
+                return
         self.asks_again_at[resource] = self.now() + EMPTY_SECONDS
 
     def _receive(
--- a/src/pollenseam/controlvm.py
+++ b/src/pollenseam/controlvm.py
@@ -162,11 +162,13 @@
             self.metrics.renewals,
         )
         self.reserve_keeper = reservekeeper.ReserveKeeper(
+            settings.address,
             log,
             self.now,
             lambda: self.replica_runner,
             lambda: self.applied_registry,
             lambda: self.settings.tolerance,
+            lambda: self.directory.controls,
             self.age_ms,
             self.metrics.borrows,
         )
@@ -305,6 +307,7 @@
         """Does what the leader does, once, after an interval."""
         await asyncio.sleep(LEADER_INTERVAL_SECONDS)
         self._log_members()
+        self.reserve_keeper.observe()
         if not self.replica_runner.is_leader:
             return
         announced_ids = sorted(self.unreported_ids)
