--- a/src/pollenseam/connections.py
+++ b/src/pollenseam/connections.py
@@ -178,7 +178,8 @@
         Raises:
             RefusedError: There is no room.
         """
-        timeout = self._receiving = asyncio.timeout(None)
+        due = _time() if self._refusal is not None else None
+        timeout = self._receiving = asyncio.timeout_at(due)
         try:
             async with timeout:
                 yield
@@ -194,11 +195,13 @@
 
     def refuse(self, refusal: errors.RefusedError) -> bool:
         """Refuses the request whose body is arriving, if there is one."""
-        if self._receiving is None or self.is_refused:
+        is_next = bool(self._messages) and not self._request_in_progress
+        if self.is_refused or (self._receiving is None and not is_next):
             return False
         self.is_refused = True
         self._refusal = refusal
-        self._receiving.reschedule(_time())
+        if self._receiving is not None:
+            self._receiving.reschedule(_time())
         return True
 
     def abort(self) -> None:
--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -24,6 +24,7 @@
 from pollenseam import gossiper
 from pollenseam import httpserver
 from pollenseam import idempotency
+from pollenseam import intake
 from pollenseam import journal
 from pollenseam import keys
 from pollenseam import leases
@@ -111,6 +112,7 @@
             KEEP_ALIVE_SECONDS,
             frontend.MAX_HEAD_FIELD_BYTES,
             frontend.MAX_HEADERS,
+            intake.create(0.0, 0.0, log),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._root_digest = ""
--- a/src/pollenseam/intake.py
+++ b/src/pollenseam/intake.py
@@ -69,6 +69,11 @@
         self.ended = metrics.Counter("callers_ended_total", "reason")
         self._connections: dict[budgets.Holder, connections.Connection] = {}
 
+    def adopt_limits(self, other: Intake) -> None:
+        """Takes over the limits of another intake."""
+        self.budget.max_bytes = other.budget.max_bytes
+        self.max_connections = other.max_connections
+
     # Bytes.
 
     def measure(self, connection: connections.Connection) -> None:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -30,6 +30,21 @@
         yield
 
 
+class Daemon:
+    """The process of a daemon, as the watch takes it."""
+
+    def __init__(self, process, address):
+        self.name = process.name
+        self.child = process.child
+        self.ip, _, port = address.rpartition(":")
+        self.port = int(port)
+
+    @property
+    def process(self):
+        self.child.poll()
+        return self.child
+
+
 class Watch:
     """Samples the memory and the sockets of one process.
 
@@ -72,6 +87,8 @@
         """Returns the bytes in the queues of the sockets at the VM's IP."""
         parts = bytes(int(part) for part in self.machine.ip.split("."))
         own_address = f"{struct.unpack('<I', parts)[0]:08X}:"
+        if isinstance(self.machine, Daemon):
+            own_address += f"{self.machine.port:04X}"
         total = 0
         for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,9 @@
 import crowds
 import machines
 import pytest
+import test_fleet
+
+from pollenseam.standins import fleet
 
 pytestmark = pytest.mark.xdist_group("crowds")
 
@@ -26,6 +29,20 @@
 REPLY_CROWD = 32
 CONTROL_CROWD = 64
 CONNECTION_CROWD = 700
+# The daemon is told no limits; these are those of a machine of 300 MB.
+DAEMON_MEMORY_MB = 300
+DAEMON_MAX_SOCKETS = 3900
+DAEMON_CROWD = 32
+DAEMON_SETTINGS = test_fleet.SETTINGS + f"""
+[[teams.t.services.svc.routes]]
+host = "svc.example"
+prefix = "/once"
+access = "open"
+at_most_once = "optional"
+[teams.t.services.svc.defaults]
+timeout_ms = 20000
+max_body_bytes = {BODY_BYTES}
+"""
 
 
 def add_limits(machine):
@@ -210,3 +227,41 @@
             lambda: cluster.has_status_200(cluster.rpc("config.get"))
         )
     watch.check(MEMORY_MB, MAX_SOCKETS)
+
+
+@pytest.fixture
+async def daemon(tmp_path):
+    async with crowds.alone():
+        spec = fleet.VmSpec("v1", "r1", "d1", is_replica=True)
+        with fleet.Fleet(tmp_path, [spec]) as running:
+            await asyncio.to_thread(running.start_all)
+            file = tmp_path / "settings.toml"
+            file.write_text(DAEMON_SETTINGS)
+            applied = await asyncio.to_thread(
+                running.run_tool, "apply", str(file), "--wait"
+            )
+            assert applied.returncode == 0, applied.stderr
+            yield crowds.Daemon(running.daemons["v1"], spec.caller), running
+
+
+async def test_a_crowd_at_a_daemon_leaves_the_memory_bounded(daemon):
+    """Guards against bodies that a daemon buffers, as with a claim."""
+    machine, running = daemon
+
+    def pieces():
+        line = b"POST /once/1 HTTP/1.1\r\nHost: svc.example\r\n"
+        line += b"Idempotency-Key: crowd\r\n"
+        yield line + f"Content-Length: {BODY_BYTES}\r\n\r\n".encode()
+        yield from crowds.in_pieces(BODY_BYTES - 1)
+
+    watch = crowds.Watch(machine)
+    async with watch.running():
+        tasks = [
+            asyncio.create_task(crowds.send(machine, machine.port, pieces()))
+            for _ in range(DAEMON_CROWD)
+        ]
+        await asyncio.sleep(crowds.HOLD_SECONDS / 2)
+        await asyncio.to_thread(running.wait_serving, "v1")
+        await asyncio.gather(*tasks)
+        await asyncio.to_thread(running.wait_serving, "v1")
+    watch.check(DAEMON_MEMORY_MB, DAEMON_MAX_SOCKETS)
