Bytes in flight to one upstream are bounded

Cause: an upstream crashes if the requests that it holds exceed its memory, and nothing bounded the bodies that one VM sends there at once. Option upstream_body_bytes, 128 MiB; a single body always goes. Beyond it another upstream is tried, else the call is refused as not run.

--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -17,6 +17,7 @@
 from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import suspects
+from pollenseam import upstreambytes
 from pollenseam import vm
 
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -45,6 +46,7 @@
         sender: Sends calls to upstreams.
         reach_watch: Follows which services this VM reaches.
         relayer: Has calls sent by other VMs.
+        upstream_bytes: Bodies in flight, by upstream.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.watchlist = watchlist
         self.reach_watch = relayer.reach_watch
         self.relayer = relayer
+        self.upstream_bytes = upstreambytes.UpstreamBytes()
         self.sender = sending.Sender(
             protocol,
             log,
@@ -253,7 +256,12 @@
     ) -> calls.Reply | None:
         """Sends a call to one upstream; see `sending.Sender`."""
         upstream = choice.upstream
-        active_call.tried.add(upstream.record.id)
+        id = upstream.record.id
+        size = len(active_call.call.body)
+        active_call.tried.add(id)
+        if size and not self.upstream_bytes.begin(id, size):
+            self._record_full(active_call, id)
+            return None
         pending = upstream.begin(
             choice.expected_seconds, self.now(), active_call.is_risky
         )
@@ -261,6 +269,23 @@
             return await self.sender.attempt(active_call, choice)
         finally:
             upstream.end(pending)
+            if size:
+                self.upstream_bytes.end(id, size)
+
+    def _record_full(
+        self, active_call: calls.ActiveCall, upstream: str
+    ) -> None:
+        """Records that an upstream has no room for a call's body."""
+        self.sender.log.emit_often(
+            "upstream-full",
+            request=active_call.call.id,
+            upstream=upstream,
+            body_bytes=len(active_call.call.body),
+            in_flight_bytes=self.upstream_bytes.in_flight[upstream],
+        )
+        active_call.refusal = active_call.refusal or errors.Refusal(
+            errors.Kind.NO_ROOM, "the upstream has no room for the body", "no"
+        )
 
     def _check_crashes(self, active_call: calls.ActiveCall) -> None:
         """Refuses a blocked call, and sends a suspect one with care."""
--- a/src/pollenseam/entryoptions.py
+++ b/src/pollenseam/entryoptions.py
@@ -2,6 +2,7 @@
 
 from pollenseam import intake
 from pollenseam import options
+from pollenseam import upstreambytes
 
 HELD_MEMORY_SHARE = options.Option(
     "held_memory_share",
@@ -19,5 +20,17 @@
     "part of the descriptors that are not kept for files",
     "how many connections of callers are kept",
 )
+UPSTREAM_BODY_BYTES = options.Option(
+    "upstream_body_bytes",
+    upstreambytes.DEFAULT_MAX_BYTES,
+    64 * 1024,
+    1e12,
+    "bytes",
+    "how much of request bodies is in flight to one upstream",
+)
 
-ALL: tuple[options.Option, ...] = (HELD_MEMORY_SHARE, CALLER_CONNECTION_SHARE)
+ALL: tuple[options.Option, ...] = (
+    HELD_MEMORY_SHARE,
+    CALLER_CONNECTION_SHARE,
+    UPSTREAM_BODY_BYTES,
+)
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -11,6 +11,7 @@
 from pollenseam import controlmessages
 from pollenseam import crashwatch
 from pollenseam import dispatcher
+from pollenseam import entryoptions
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import intake
@@ -212,6 +213,7 @@
             ),
             self.relayer,
         )
+        self._bound_upstream_bytes()
         self.relay_helper = relayhelper.RelayHelper(
             self.dispatcher,
             self.pools,
@@ -241,8 +243,14 @@
         """Replaces the settings of a running VM."""
         self.settings = settings
         self.options.adopt(settings.options)
+        self._bound_upstream_bytes()
         self.follower.place = _place(settings)
 
+    def _bound_upstream_bytes(self) -> None:
+        self.dispatcher.upstream_bytes.max_bytes = self.options.get(
+            entryoptions.UPSTREAM_BODY_BYTES
+        )
+
     def bound_replies(self, server_intake: intake.Intake) -> None:
         """Counts replies of upstreams with what is held for callers."""
         buffers = self.dispatcher.sender.reply_buffers
@@ -570,6 +578,10 @@
                 "step_failures": self._tasks.failures,
                 "entry_vms": len(self.follower.directory.entries),
                 **self._statement_gauges(),
+                "upstream_body_bytes": sum(
+                    self.dispatcher.upstream_bytes.in_flight.values()
+                ),
+                "upstreams_full": self.dispatcher.upstream_bytes.refused,
                 **self.reach_watch.gauges(),
             }
         )
