--- a/src/pollenseam/entryoptions.py
+++ b/src/pollenseam/entryoptions.py
@@ -4,6 +4,7 @@
 from pollenseam import intake
 from pollenseam import options
 from pollenseam import rankorder
+from pollenseam import upstreambytes
 
 HELD_MEMORY_SHARE = options.Option(
     "held_memory_share",
@@ -21,6 +22,14 @@
     "part of the descriptors that are not kept for files",
     "how many connections of callers are kept",
 )
+UPSTREAM_BODY_BYTES = options.Option(
+    "upstream_body_bytes",
+    upstreambytes.DEFAULT_MAX_BYTES,
+    64 * 1024,
+    1e12,
+    "bytes",
+    "how much of request bodies is in flight to one upstream",
+)
 
 ALL: tuple[options.Option, ...] = (
     HELD_MEMORY_SHARE,
@@ -28,4 +37,5 @@
     hedging.RATIO,
     rankorder.STRENGTH,
     rankorder.FLOOR,
+    UPSTREAM_BODY_BYTES,
 )
