hedge-refused tells what was compared: the second upstream's expected times

The line had only the reason, so that nobody could see by how much a hedge had missed, and whether its estimates or the load decided.

pytest tests/test_hedging.py tests/test_hedgedsending.py: 53 passed.

--- a/src/pollenseam/hedgedsending.py
+++ b/src/pollenseam/hedgedsending.py
@@ -62,6 +62,29 @@
         return reply is not None and reply.status < 500
 
 
+class Refusal:
+    """Why a late call is not hedged.
+
+    Attributes:
+        reason: The reason, see `hedging`.
+        second: The best upstream beside the first, if one was looked for.
+        first_left_seconds: How much longer the first attempt is expected to
+            take, if that was looked at.
+    """
+
+    __slots__ = ("reason", "second", "first_left_seconds")
+
+    def __init__(
+        self,
+        reason: str,
+        second: steering.Choice | None = None,
+        first_left_seconds: float | None = None,
+    ) -> None:
+        self.reason = reason
+        self.second = second
+        self.first_left_seconds = first_left_seconds
+
+
 class HedgedSender:
     """Sends calls to one upstream, and to a second one if they are late.
 
@@ -148,26 +171,8 @@
         if first.task.done():
             return None
         choice = self._choose_second(first)
-        if isinstance(choice, str):
-            active_call = first.active_call
-            self.hedges.add(active_call.named_route.name, choice)
-            self.log.emit_often(
-                "hedge-refused",
-                request=active_call.call.id,
-                route=active_call.named_route.name,
-                service=active_call.service,
-                upstream=first.choice.upstream.record.id,
-                reason=choice,
-                waited_seconds=self.now() - first.started_at,
-                region_load=hedging.region_load(
-                    active_call.pool,
-                    first.choice.upstream.region,
-                    self.now(),
-                ),
-                saved=self.policy.allowance.saved.get(
-                    active_call.named_route.name
-                ),
-            )
+        if isinstance(choice, Refusal):
+            self._record_refusal(first, choice)
             return None
         active_call = first.active_call
         twin = _twin(active_call)
@@ -176,38 +181,61 @@
         active_call.executions += 1
         return Attempt(twin, choice, self.now(), self.send_once)
 
-    def _choose_second(self, first: Attempt) -> steering.Choice | str:
+    def _record_refusal(self, first: Attempt, refusal: Refusal) -> None:
+        active_call = first.active_call
+        route = active_call.named_route.name
+        upstream = first.choice.upstream
+        now = self.now()
+        second = refusal.second
+        self.hedges.add(route, refusal.reason)
+        self.log.emit_often(
+            "hedge-refused",
+            request=active_call.call.id,
+            route=route,
+            service=active_call.service,
+            upstream=upstream.record.id,
+            reason=refusal.reason,
+            waited_seconds=now - first.started_at,
+            left_seconds=refusal.first_left_seconds,
+            second=second and second.upstream.record.id,
+            expected_wait=second and second.wait_seconds,
+            expected_work=second and second.work_seconds,
+            region_load=hedging.region_load(
+                active_call.pool, upstream.region, now
+            ),
+            saved=self.policy.allowance.saved.get(route),
+        )
+
+    def _choose_second(self, first: Attempt) -> steering.Choice | Refusal:
         """Returns the second upstream, or why the call is not hedged."""
         active_call = first.active_call
         route = active_call.named_route.name
         now = self.now()
         # The first attempt may have learned something since it was sent.
         if active_call.is_risky or not active_call.may_run_twice():
-            return hedging.NOT_REPEATABLE
+            return Refusal(hedging.NOT_REPEATABLE)
         if not self.policy.allowance.can_spend(route):
-            return hedging.ROUTE_BUDGET
+            return Refusal(hedging.ROUTE_BUDGET)
         if self.reach_watch.reach(active_call.service).is_unreached:
-            return hedging.UNREACHED
+            return Refusal(hedging.UNREACHED)
         pool = active_call.pool
         load = hedging.region_load(pool, first.choice.upstream.region, now)
         if load > hedging.MAX_LOAD_RATIO:
-            return hedging.BUSY
+            return Refusal(hedging.BUSY)
         required = hedging.second_requirements(
             first.choice, active_call.requirements()
         )
         choice = pool.choose(required, now)
+        first_left_seconds = self.policy.left_seconds(
+            route, first.is_warm, now - first.started_at
+        )
         reason = hedging.why_not(
-            choice,
-            self.policy.left_seconds(
-                route, first.is_warm, now - first.started_at
-            ),
-            active_call.deadline - now,
-            now,
+            choice, first_left_seconds, active_call.deadline - now, now
         )
         if reason or choice is None:
-            return reason
+            return Refusal(reason, choice, first_left_seconds)
         if not self.claim(active_call):
-            return hedging.RETRY_BUDGET
+            return Refusal(hedging.RETRY_BUDGET, choice, first_left_seconds)
         self.policy.allowance.spend(route)
         return choice
 
