--- a/src/pollenseam/daemon.py
+++ b/src/pollenseam/daemon.py
@@ -15,6 +15,7 @@
 from pollenseam import admission
 from pollenseam import bootstrap
 from pollenseam import datafolder
+from pollenseam import diagnostics
 from pollenseam import errors
 from pollenseam import events
 from pollenseam import flags
@@ -24,6 +25,7 @@
 from pollenseam import gossiper
 from pollenseam import httpserver
 from pollenseam import idempotency
+from pollenseam import intake
 from pollenseam import journal
 from pollenseam import keys
 from pollenseam import leases
@@ -49,6 +51,8 @@
 FIRST_LEASE_MARGIN_SECONDS = 1.0
 # Net allocations that trigger a garbage collection of the youngest generation.
 GC_THRESHOLD = 20_000
+# Errors that `main` reports in one line.
+EXPECTED_ERRORS = (errors.FlagError, errors.DamagedError, OSError)
 
 
 class Daemon:
@@ -111,6 +115,7 @@
             KEEP_ALIVE_SECONDS,
             frontend.MAX_HEAD_FIELD_BYTES,
             frontend.MAX_HEADERS,
+            intake.create(0.0, 0.0, log),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._root_digest = ""
@@ -268,6 +273,7 @@
         self.log.emit("task-failed", reason=repr(error))
         # A daemon without one of its parts would answer wrongly. The process
         # exits because only a restart leads to a state that is tested.
+        self.log.close()
         os._exit(70)
 
     # Stop.
@@ -398,7 +404,7 @@
         insecure,
     )
     log = events.open_log(daemon_flags.vm, daemon_flags.log_file)
-    asyncio.run(_run(daemon_flags, log))
+    diagnostics.run(_run(daemon_flags, log), log, EXPECTED_ERRORS)
 
 
 async def _run(daemon_flags: flags.Flags, log: events.EventLog) -> None:
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -7,7 +7,10 @@
 from pollenseam import crashwatch
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import hedgedsending
+from pollenseam import hedging
 from pollenseam import metrics
+from pollenseam import options
 from pollenseam import reachability
 from pollenseam import relaying
 from pollenseam import relaymessages
@@ -17,6 +20,7 @@
 from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import suspects
+from pollenseam import upstreambytes
 from pollenseam import vm
 
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -45,13 +49,15 @@
         sender: Sends calls to upstreams.
         reach_watch: Follows which services this VM reaches.
         relayer: Has calls sent by other VMs.
+        hedged_sender: Sends late calls to a second upstream.
+        upstream_bytes: Bodies in flight, by upstream.
     """
 
     def __init__(
         self,
         protocol: calls.UpstreamProtocol,
         log: events.EventLog,
-        attempt_counter: metrics.Counter,
+        counters: metrics.EntryMetrics,
         retry_ratio: float,
         retry_slack: float,
         retry_window_seconds: float,
@@ -59,6 +65,7 @@
         watchlist: suspects.Watchlist,
         crash_watch: crashwatch.CrashWatch,
         relayer: relaying.Relayer,
+        entry_options: options.Options,
     ) -> None:
         self.now = vm.boot_seconds
         self.vm_count = 1
@@ -69,10 +76,11 @@
         self.watchlist = watchlist
         self.reach_watch = relayer.reach_watch
         self.relayer = relayer
+        self.upstream_bytes = upstreambytes.UpstreamBytes()
         self.sender = sending.Sender(
             protocol,
             log,
-            attempt_counter,
+            counters.attempts,
             statement_watch,
             watchlist,
             crash_watch,
@@ -80,6 +88,17 @@
             self._evaluate_failure,
             self._claim_second_run,
         )
+        self.hedged_sender = hedgedsending.HedgedSender(
+            entry_options,
+            log,
+            counters.hedges,
+            counters.hedge_milliseconds,
+            self.now,
+            self.reach_watch,
+            self._send_once,
+            self._claim_hedge,
+            self._evaluate_failure,
+        )
 
     async def close(self) -> None:
         """Closes all connections to upstreams."""
@@ -157,6 +176,17 @@
         self._spend_retry(active_call, now)
         return None
 
+    def preview(self, active_call: calls.ActiveCall) -> steering.Choice | None:
+        """Returns where a new call would be sent now, on a copy of its pool.
+
+        Returns:
+            The upstream; None if another VM would send it.
+
+        Raises:
+            RefusedError: It would be refused.
+        """
+        return self._choose_way(active_call)
+
     def _needs_helper(self, active_call: calls.ActiveCall) -> bool:
         if active_call.is_helpless:
             return False
@@ -250,10 +280,23 @@
 
     async def _send(
         self, active_call: calls.ActiveCall, choice: steering.Choice
+    ) -> calls.Reply | None:
+        """Sends a call to an upstream; to a second one if it may be hedged."""
+        if self.hedged_sender.may_hedge(active_call):
+            return await self.hedged_sender.send(active_call, choice)
+        return await self._send_once(active_call, choice)
+
+    async def _send_once(
+        self, active_call: calls.ActiveCall, choice: steering.Choice
     ) -> calls.Reply | None:
         """Sends a call to one upstream; see `sending.Sender`."""
         upstream = choice.upstream
-        active_call.tried.add(upstream.record.id)
+        id = upstream.record.id
+        size = len(active_call.call.body)
+        active_call.tried.add(id)
+        if size and not self.upstream_bytes.begin(id, size):
+            self._record_full(active_call, id)
+            return None
         pending = upstream.begin(
             choice.expected_seconds, self.now(), active_call.is_risky
         )
@@ -261,6 +304,23 @@
             return await self.sender.attempt(active_call, choice)
         finally:
             upstream.end(pending)
+            if size:
+                self.upstream_bytes.end(id, size)
+
+    def _record_full(
+        self, active_call: calls.ActiveCall, upstream: str
+    ) -> None:
+        """Records that an upstream has no room for a call's body."""
+        self.sender.log.emit_often(
+            "upstream-full",
+            request=active_call.call.id,
+            upstream=upstream,
+            body_bytes=len(active_call.call.body),
+            in_flight_bytes=self.upstream_bytes.in_flight[upstream],
+        )
+        active_call.refusal = active_call.refusal or errors.Refusal(
+            errors.Kind.NO_ROOM, "the upstream has no room for the body", "no"
+        )
 
     def _check_crashes(self, active_call: calls.ActiveCall) -> None:
         """Refuses a blocked call, and sends a suspect one with care."""
@@ -299,6 +359,8 @@
                 f"{choice.upstream.load(now):.3g}, "
                 f"{left_seconds:.3g} s are left"
             )
+            if choice.wait_seconds > 0:
+                active_call.found_no_room = True
             raise self._final_refusal(
                 active_call, why, choice.excess_wait_seconds
             )
@@ -326,6 +388,12 @@
         active_call.has_retry = budget.try_spend(self.vm_count, now)
         return active_call.has_retry
 
+    def _claim_hedge(self, active_call: calls.ActiveCall) -> bool:
+        """Takes a hedge from the retry budget, of which a part is left."""
+        return self._budget(active_call.service).try_spend(
+            self.vm_count, self.now(), hedging.RETRY_BUDGET_PART
+        )
+
     def _may_retry(self, active_call: calls.ActiveCall, now: float) -> bool:
         return active_call.may_retry() and self._may_run_again(active_call, now)
 
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import copy
 import random
 import time
 
@@ -11,8 +12,10 @@
 from pollenseam import controlmessages
 from pollenseam import crashwatch
 from pollenseam import dispatcher
+from pollenseam import entryoptions
 from pollenseam import errors
 from pollenseam import events
+from pollenseam import intake
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import links
@@ -23,6 +26,8 @@
 from pollenseam import pacing
 from pollenseam import peers
 from pollenseam import peerserver
+from pollenseam import poolcopies
+from pollenseam import rankwatch
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import registryfollower
@@ -131,6 +136,7 @@
         pools: Upstreams by service name.
         work_estimates: Observed work per route, common to all pools.
         fleet_view: Observations at upstreams, shared by all VMs.
+        rank_watch: Gives scarce room to calls by their rank.
         shares: Leased shares of the workspaces' rates.
         statement_watch: Follows what upstreams state in their responses.
         reach_watch: Follows which services this VM reaches.
@@ -172,6 +178,10 @@
         self.pools: dict[str, steering.Pool] = {}
         self.work_estimates = workestimates.WorkEstimates()
         self.fleet_view = observations.FleetView()
+        self.metrics = metrics.EntryMetrics()
+        self.rank_watch = rankwatch.RankWatch(
+            self.options, log, self.metrics, self.now
+        )
         self.shares = shares.LeaseClient(
             log,
             peer_client,
@@ -180,8 +190,8 @@
             self.fleet_view,
             self._log_statements,
             lambda: self.follower.directory.controls,
+            self.rank_watch.order,
         )
-        self.metrics = metrics.EntryMetrics()
         self.statement_watch = statementwatch.StatementWatch(
             self.fleet_view.statements, log, self.now, self.metrics.statements
         )
@@ -200,7 +210,7 @@
         self.dispatcher = dispatcher.Dispatcher(
             protocol,
             log,
-            self.metrics.attempts,
+            self.metrics,
             settings.retry_ratio,
             settings.retry_slack,
             settings.retry_window_seconds,
@@ -210,7 +220,9 @@
                 log, self.now, self._record_crash, self._is_leaving
             ),
             self.relayer,
+            self.options,
         )
+        self._bound_upstream_bytes()
         self.relay_helper = relayhelper.RelayHelper(
             self.dispatcher,
             self.pools,
@@ -240,8 +252,22 @@
         """Replaces the settings of a running VM."""
         self.settings = settings
         self.options.adopt(settings.options)
+        self._bound_upstream_bytes()
         self.follower.place = _place(settings)
 
+    def _bound_upstream_bytes(self) -> None:
+        self.dispatcher.upstream_bytes.max_bytes = self.options.get(
+            entryoptions.UPSTREAM_BODY_BYTES
+        )
+
+    def bound_replies(self, server_intake: intake.Intake) -> None:
+        """Counts replies of upstreams with what is held for callers."""
+        buffers = self.dispatcher.sender.reply_buffers
+        buffers.intake = server_intake
+        buffers.max_total_bytes = min(
+            buffers.max_total_bytes, server_intake.budget.max_bytes
+        )
+
     def _upstream_addresses(self, service: str) -> dict[str, str]:
         pool = self.pools.get(service)
         upstreams = pool.upstreams if pool is not None else {}
@@ -362,6 +388,7 @@
             for name, workspace in self.table.workspaces.items()
             if workspace.rate > 0
         ]
+        self.rank_watch.adopt_table(self.table)
         self.shares.lease_table.set_resources(limited, self.now())
         self.shares.wake.set()
 
@@ -389,6 +416,7 @@
                     self.fleet_view.statements,
                 )
             pool.update(records, settings.regions, now)
+            self.rank_watch.order.slots[name] = sum(r.slots for r in records)
             self.reach_watch.retain(name, pool.upstreams)
         for name in self.pools.keys() - records_by_service.keys():
             self.pools[name].update([], settings.regions, now)
@@ -457,7 +485,8 @@
         try:
             active_call = self._admit(call)
             await self._take_token(call, active_call.deadline)
-            reply = await self.dispatcher.dispatch(active_call)
+            self.rank_watch.check(active_call)
+            reply = await self._dispatch(active_call)
             self.link.send(len(reply.body), self.now())
             self.answer_log.record_reply(call, reply.status)
             return reply
@@ -470,6 +499,13 @@
         finally:
             self.in_flight -= 1
 
+    async def _dispatch(self, active_call: calls.ActiveCall) -> calls.Reply:
+        try:
+            return await self.dispatcher.dispatch(active_call)
+        except errors.RefusedError as error:
+            self.rank_watch.record_refusal(active_call, error.refusal)
+            raise
+
     def _admit(self, call: calls.Call) -> calls.ActiveCall:
         if self.registry.index == 0 or self.follower.freshness.as_of is None:
             raise errors.refuse(
@@ -500,6 +536,31 @@
             call, named_route, service, pool, deadline, regions, priority
         )
 
+    def preview(self, call: calls.Call) -> calls.ActiveCall:
+        """Returns a call as it would be admitted now, without any effect.
+
+        Raises:
+            RefusedError: The call would be refused.
+        """
+        copied = copy.copy(self)
+        copied.table = copy.copy(self.table)
+        # Routes divide their traffic in turn.
+        host = call.host.lower()
+        routes = copy.deepcopy(self.table.hosts.get(host, []))
+        copied.table.hosts = {host: routes}
+        active_call = copied._admit(call)
+        active_call.pool = poolcopies.copy_pool(active_call.pool)
+        return active_call
+
+    def preview_token(self, call: calls.Call) -> bool:
+        """Returns whether a token of the rate would be taken at once."""
+        workspace = self.table.workspaces.get(call.workspace)
+        if workspace is None or workspace.rate <= 0:
+            return True
+        return self.shares.preview(
+            call.workspace, self._allowed_overdraft(workspace)
+        )
+
     def _check_key(self, call: calls.Call) -> items.Workspace:
         if not self.is_fresh():
             raise errors.refuse(
@@ -548,6 +609,7 @@
 
     def expose(self) -> str:
         """Returns all metrics in the text exposition format."""
+        self.rank_watch.update_gauges()
         upstreams = sum(len(pool.upstreams) for pool in self.pools.values())
         exposition = self.metrics.expose(
             {
@@ -559,8 +621,14 @@
                 "settings_age_seconds": self.follower.freshness.age(self.now()),
                 "upstreams": upstreams,
                 "step_failures": self._tasks.failures,
+                "log_lines_dropped": self.log.dropped,
                 "entry_vms": len(self.follower.directory.entries),
+                "dropped_rooms": self.rank_watch.order.refused_count,
                 **self._statement_gauges(),
+                "upstream_body_bytes": sum(
+                    self.dispatcher.upstream_bytes.in_flight.values()
+                ),
+                "upstreams_full": self.dispatcher.upstream_bytes.refused,
                 **self.reach_watch.gauges(),
             }
         )
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import aiohttp
-import yarl
 
 from pollenseam import attempts
 from pollenseam import calls
@@ -17,6 +16,7 @@
 from pollenseam import events
 from pollenseam import links
 from pollenseam import metrics
+from pollenseam import payloads
 from pollenseam import reachwatch
 from pollenseam import registry
 from pollenseam import replybuffers
@@ -24,6 +24,7 @@
 from pollenseam import statementwatch
 from pollenseam import steering
 from pollenseam import suspects
+from pollenseam import targets
 from pollenseam import upstreamstats
 from pollenseam import vm
 from pollenseam import waits
@@ -219,13 +220,12 @@
         headers = self.protocol.request_headers(
             call, upstream.record.id, left_seconds
         )
-        address = upstream.record.address
         active_call.connection = connects.NONE
         return await self.session.request(
             call.method,
-            yarl.URL(f"http://{address}{call.target}", encoded=True),
+            targets.url(upstream.record.address, call.target),
             headers=headers,
-            data=call.body or None,
+            data=payloads.create(call.body) or None,
             allow_redirects=False,
             timeout=self.connect_timeout(),
             trace_request_ctx=functools.partial(
@@ -303,6 +303,7 @@
             return None
         if head.is_not_run:
             upstream.record_shed(now)
+            active_call.found_no_room = True
             self.attempt_log.record_not_run(
                 active_call, upstream, "shed", started
             )
@@ -318,7 +319,7 @@
             )
             return None
         reply = calls.Reply(
-            response.status, response.reason, response.headers, bytes(body)
+            response.status, response.reason, response.headers, body
         )
         return self._evaluate_reply(active_call, choice, reply, started)
 
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import copy
+import random
 from collections.abc import Callable
 
 from pollenseam import borrowing
@@ -14,7 +16,10 @@
 from pollenseam import links
 from pollenseam import messages
 from pollenseam import observations
+from pollenseam import options
+from pollenseam import overrates
 from pollenseam import peers
+from pollenseam import rankorder
 from pollenseam import replicarunner
 from pollenseam import upstreamstatements
 
@@ -40,6 +45,8 @@
         fleet_view: Observations at upstreams that renewals carry.
         on_statements: Called with the statements of other VMs that changed
             the rate in force of an upstream.
+        order: Order of requests where room is scarce; its loads go with the
+            renewals.
         lease_table: Accounts by workspace.
         borrower: Borrows tokens while the leader does not lend.
         link: Network link of this VM.
@@ -56,6 +63,7 @@
         fleet_view: observations.FleetView,
         on_statements: Callable[[list[upstreamstatements.Statement]], None],
         find_controls: borrowing.FindControls,
+        order: rankorder.RankOrder | None = None,
     ) -> None:
         self.log = log
         self.peers = peer_client
@@ -63,6 +71,7 @@
         self.own_record = own_record
         self.fleet_view = fleet_view
         self.on_statements = on_statements
+        self.order = order or rankorder.RankOrder(options.Options(), now)
         self.lease_table = buckets.LeaseTable()
         self.borrower = borrowing.Borrower(
             log, peer_client, now, find_controls, self._adopt_leader
@@ -114,7 +123,9 @@
             self.own_record(),
             demands,
             is_complete=is_full,
-            observed=self.fleet_view.build_report(is_full, sent_at),
+            observed=self.fleet_view.build_report(
+                is_full, sent_at, self.order.build_report()
+            ),
         )
         self.borrower.record_sent()
         answer = await self._call_leader(request)
@@ -130,6 +141,7 @@
                 request.observed, answer.observed, now
             )
             self.on_statements(changed)
+            self.order.adopt(answer.observed.rooms, sent_at)
             self._log_observations(answer.observed)
         self.borrower.record_answer(self.leader)
         self._synced_leader = ""
@@ -177,6 +189,20 @@
         self.lease_table.accounts.clear()
         await self._call_leader(controlmessages.Renew(self.own_record(), []))
 
+    def preview(
+        self, resource: str, overdraft_limits: buckets.OverdraftLimits
+    ) -> bool:
+        """Returns whether `acquire` would take a token at once.
+
+        Args:
+            resource: Name of the workspace.
+            overdraft_limits: The most tokens that may be used beyond the share.
+        """
+        account = copy.deepcopy(self.lease_table.accounts.get(resource))
+        if account is None or account.waiting:
+            return False
+        return account.take(overdraft_limits, self.now())
+
     async def acquire(
         self,
         resource: str,
@@ -201,6 +227,8 @@
             if account.overdraft > 0:
                 self.wake.set()
             return
+        if overrates.is_hopeless(account, TOKEN_WAIT_SECONDS, self.now()):
+            raise self._over_rate(account, limit)
         account.waiting += 1
         self.wake.set()
         try:
@@ -217,11 +245,19 @@
                 errors.Kind.NO_QUORUM,
                 "this VM has no leased share of the workspace's rate",
             )
-        share = account.bucket.held(self.now())
-        raise errors.refuse(
+        raise self._over_rate(account, limit)
+
+    def _over_rate(
+        self, account: buckets.Account, limit: leases.Limit
+    ) -> errors.RefusedError:
+        """Returns the refusal of a request over its workspace's rate."""
+        now = self.now()
+        share = account.bucket.held(now)
+        spread = overrates.spread_seconds(account, random.random(), now)
+        return errors.refuse(
             errors.Kind.OVER_RATE,
             f"over the rate: {account.demand.rate:.3g}/s here, share "
             f"{share.rate:.3g}/s and {share.burst:.3g} of "
             f"{limit.rate:g}/s and {limit.burst:g}",
-            retry_after=max(0.2, 1 / limit.rate),
+            retry_after=max(0.2, 1 / limit.rate) + spread,
         )
