--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,9 +1,11 @@
 """Where a request would go: the answer, and that asking changes nothing."""
 
 import asyncio
+import io
 
 import hedges
 import msgspec
+import program
 import pytest
 import test_rogue_upstreams
 import virtualtime
@@ -12,11 +14,13 @@
 from pollenseam import commandline
 from pollenseam import controlmessages
 from pollenseam import errors
+from pollenseam import events
 from pollenseam import items
 from pollenseam import leases
 from pollenseam import placements
 from pollenseam import placing
 from pollenseam import wherecommands
+from pollenseam.standins import fleet
 
 
 def dump(value, seen=None):
@@ -247,6 +251,31 @@
     playing(monkeypatch, check)
 
 
+async def test_the_tool_reaches_a_vm_at_the_address_of_its_metrics():
+    log = events.open_log("e1", stream=io.StringIO())
+    port = fleet.free_port()
+    asked = []
+
+    def answer_page(values):
+        asked.append(dict(values))
+        if "object" in values:
+            raise ValueError("no such field")
+        return msgspec.json.encode(sample())
+
+    await program._serve_metrics(
+        lambda: "metrics", "127.0.0.1", port, log, answer_page
+    )
+
+    def ask(**more):
+        query = placements.Query("h", "/a/1?x=1", "w 1", **more)
+        return wherecommands._ask(f"127.0.0.1:{port}", query)
+
+    assert (await asyncio.to_thread(ask)).upstream == "u1"
+    assert asked == [{"host": "h", "path": "/a/1?x=1", "workspace": "w 1"}]
+    with pytest.raises(errors.UnreachableError, match="400"):
+        await asyncio.to_thread(ask, object="7")
+
+
 def sample(**more):
     candidate = placements.Candidate(
         "u1", "r1", "d1", 0, True, 1.0, 3, 0.0, 0.1, 0.0, 0.0, ""
