--- a/tests/test_rankorder.py
+++ b/tests/test_rankorder.py
@@ -174,19 +174,23 @@
 
 def test_a_workspace_at_seven_times_its_usual_pays_for_it():
     """A large workspace of the low rank asks for as much as all others."""
-    fleet = calm_fleet()
-    fleet.demands[LOW, "w0"] = 6.0
-    fleet.run(20.0)
-    fleet.demands[LOW, "w0"] *= 7
-    fleet.run(3.0)
-    fleet.reset()
-    fleet.run(6.0)
-    others = [
-        fleet.served_ratio(LOW, f"w{number}") for number in range(1, WORKSPACES)
-    ]
-    assert fleet.served_ratio(HIGH) >= 0.9
-    hot = fleet.served_ratio(LOW, "w0")
-    assert sum(others) / len(others) >= hot + 0.1
+    gains = []
+    for seed in range(1, 5):
+        fleet = calm_fleet(seed=seed)
+        fleet.demands[LOW, "w0"] = 6.0
+        fleet.run(20.0)
+        fleet.demands[LOW, "w0"] *= 7
+        fleet.run(3.0)
+        fleet.reset()
+        fleet.run(6.0)
+        others = [
+            fleet.served_ratio(LOW, f"w{number}")
+            for number in range(1, WORKSPACES)
+        ]
+        mean = sum(others) / len(others)
+        gains.append(mean - fleet.served_ratio(LOW, "w0"))
+        assert fleet.served_ratio(HIGH) >= 0.9
+    assert min(gains) > 0.0 and sum(gains) / len(gains) >= 0.1
 
 
 @pytest.mark.parametrize("has_leader", [True, False])
