Log: a line that the garbage collector causes cannot block the writer

Cause: messages of libraries are lines of the log, and a finalizer may log from within any allocation, also one made while the queue was locked: the thread waited for itself. Found by reading; one of fourteen runs of test_programs_start_serve_and_stop_without_a_reader had not ended in time before (not traced, it may have been this or the load of 18 on 7 cores).

Changed: the lock is reentrant, the thread allocates no containers while it has it, and a plain lock wakes it.

Tests: test_a_line_from_the_garbage_collector_holds_nothing_up; fails before, passes after, as the other 11 of tests/test_logwriter.py do.

--- a/src/pollenseam/logwriter.py
+++ b/src/pollenseam/logwriter.py
@@ -42,7 +42,8 @@
         "_reporting",
         "_is_writable",
         "_lock",
-        "_work",
+        "_wake",
+        "_is_idle",
         "_closing",
         "_thread",
     )
@@ -62,8 +63,13 @@
         self._reported = 0
         self._reporting = 0
         self._is_writable = True
-        self._lock = threading.Lock()
-        self._work = threading.Event()
+        # The garbage collector may log from within any allocation, so the lock
+        # is reentrant, and the thread allocates no containers while it has it.
+        self._lock = threading.RLock()
+        # Held by the thread while it is idle; the next line releases it.
+        self._wake = threading.Lock()
+        self._wake.acquire()
+        self._is_idle = False
         self._closing = threading.Event()
         # The process may end while the thread waits for a reader.
         self._thread = threading.Thread(
@@ -83,19 +89,23 @@
             self._lines.append(line)
             self._line_count += 1
             self._character_count += len(line)
-            # Only the first line after a pause has to wake the thread.
-            if not self._work.is_set():
-                self._work.set()
+            self._rouse()
 
     def close(self) -> None:
         """Writes the queue; waits for at most CLOSE_SECONDS."""
         self._closing.set()
-        self._work.set()
+        with self._lock:
+            self._rouse()
         self._thread.join(CLOSE_SECONDS)
 
+    def _rouse(self) -> None:
+        """Wakes the thread if it is idle."""
+        if self._is_idle:
+            self._is_idle = False
+            self._wake.release()
+
     def _run(self) -> None:
         while True:
-            self._work.wait()
             # Read first: lines that come before a close are still written.
             is_closing = self._closing.is_set()
             lines = self._take()
@@ -104,20 +114,24 @@
                 self._closing.wait(INTERVAL_SECONDS)
             elif is_closing:
                 return
+            elif self._is_idle:
+                self._wake.acquire()
 
     def _take(self) -> list[str]:
-        """Returns the lines to write now; without any, the thread may wait."""
+        """Returns the lines to write now; without any, the thread is idle."""
+        new_lines: list[str] = []
         with self._lock:
             lines = self._lines
-            self._lines = []
-            # A report alone is not tried again and again.
-            count = self.dropped - self._reported
-            if count and (lines or self._is_writable):
-                lines.append(self.describe_dropped(count) + "\n")
-                self._reporting = count
-            if not lines and not self._closing.is_set():
-                self._work.clear()
-            return lines
+            self._lines = new_lines
+            self._reporting = self.dropped - self._reported
+            if not lines and not self._is_writable:
+                # A report alone is not tried again and again.
+                self._reporting = 0
+            has_work = lines or self._reporting or self._closing.is_set()
+            self._is_idle = not has_work
+        if self._reporting:
+            lines.append(self.describe_dropped(self._reporting) + "\n")
+        return lines
 
     def _write(self, lines: list[str]) -> None:
         text = "".join(lines)
--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -326,3 +326,19 @@
             except aiohttp.ClientError:
                 pass
             await asyncio.sleep(0.05)
+
+
+def test_a_line_from_the_garbage_collector_holds_nothing_up(pipe):
+    """Guards against a finalizer that logs while the queue is locked."""
+    log = pipe.open_log()
+    writer = log.writer
+
+    def emit_all():
+        for _ in range(200):
+            with writer._lock:
+                writer.add("from a finalizer\n")
+            log.emit("served")
+
+    within(WAIT_SECONDS, emit_all)
+    log.close()
+    assert len(pipe.read_until("lt=200 ")) == 400
