Heap: a read of 256 KiB doesn't grow and shrink the heap each time

Cause: mallopt(M_MMAP_THRESHOLD) ends glibc's own adjustment of the trim threshold, which then stays at 128 KiB, below the buffer of each read; two system calls a read. It is set to 2 MiB.

--- a/src/pollenseam/heap.py
+++ b/src/pollenseam/heap.py
@@ -2,22 +2,28 @@
 
 import ctypes
 
-# Option of mallopt(3), and the size from which blocks are given back to the
-# kernel as soon as they are freed. Left alone, glibc raises that size to
-# 32 MiB, and the heap keeps the holes that freed bodies leave. Buffers of
-# asyncio's reads, 256 KiB, stay below it.
+# Options of mallopt(3). From the first size on, blocks are given back to the
+# kernel as soon as they are freed. Left alone, glibc raises it to 32 MiB, and
+# the heap keeps the holes that freed bodies leave. Buffers of asyncio's reads,
+# 256 KiB, stay below it; the second is the free memory at the heap's end that
+# is kept, so that a read doesn't grow and shrink the heap each time.
 M_MMAP_THRESHOLD = -3
+M_TRIM_THRESHOLD = -1
 MMAP_THRESHOLD_BYTES = 1024 * 1024
+TRIM_THRESHOLD_BYTES = 2 * 1024 * 1024
 
 
 def return_large_blocks() -> bool:
     """Makes freed blocks of large bodies leave the process at once.
 
     Returns:
-        Whether the C library knows this setting.
+        Whether the C library knows these settings.
     """
     try:
         set_option = ctypes.CDLL(None).mallopt
     except (AttributeError, OSError):
         return False
-    return bool(set_option(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES))
+    return bool(
+        set_option(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)
+        and set_option(M_TRIM_THRESHOLD, TRIM_THRESHOLD_BYTES)
+    )
