Upstreams that state their pace, idle ones that were slow, calls without a connection

- The fourth figure of a load header, how long work takes at this moment, is read.
The expected time follows it and forgets it as fast (half-life 0.3 s): it changes many times a second.
What the pace explains is no slowness of the upstream.
- An idle upstream from which nothing was heard for a second is no longer refused for its slowness of the past.
- A call whose time ends while its connection is being opened is refused as not run, so that callers may send again what must not be repeated.

--- a/src/pollenseam/calls.py
+++ b/src/pollenseam/calls.py
@@ -103,6 +103,8 @@
         is_leaving: Whether the upstream says that it leaves.
         pause: Seconds for which the upstream wants no request of this VM, as
             text; "" if not stated.
+        pace: How long work takes on the upstream at this moment, by the usual
+            time; None if not stated.
     """
 
     __slots__ = (
@@ -114,6 +116,7 @@
         "stated_limit",
         "is_leaving",
         "pause",
+        "pace",
     )
 
     def __init__(
@@ -126,7 +129,9 @@
         stated_limit: str = "",
         is_leaving: bool = False,
         pause: str = "",
+        pace: float | None = None,
     ) -> None:
+        self.pace = pace
         self.is_not_run = is_not_run
         self.is_replaced = is_replaced
         self.matches_request = matches_request
--- a/src/pollenseam/costs.py
+++ b/src/pollenseam/costs.py
@@ -92,7 +92,7 @@
             work *= WARM_WORK_RATIO
     if upstream.cold_until > now:
         work *= COLD_WORK_RATIO
-    return work * upstream.current_slowness(now)
+    return work * upstream.current_slowness(now) * upstream.current_pace(now)
 
 
 def excess_wait_seconds(
--- a/src/pollenseam/dispatcher.py
+++ b/src/pollenseam/dispatcher.py
@@ -348,7 +348,7 @@
         if choice is None:
             raise self._no_upstream(active_call, now)
         left_seconds = active_call.deadline - now
-        min_work_seconds = choice.work_seconds * MIN_WORK_RATIO
+        min_work_seconds = choice.least_work_seconds(now) * MIN_WORK_RATIO
         if (
             choice.excess_wait_seconds > 0
             or choice.wait_seconds + min_work_seconds > left_seconds
--- a/src/pollenseam/sending.py
+++ b/src/pollenseam/sending.py
@@ -31,6 +31,8 @@
 
 CONNECT_SECONDS = 0.3
 KEEP_ALIVE_SECONDS = 8.0
+# Retry-After of a call for which no connection was open in time.
+MIN_RETRY_AFTER_SECONDS = 0.05
 # Errors that a connection raises when the upstream ends.
 BREAKS = (
     aiohttp.ClientOSError,
@@ -152,6 +154,8 @@
             )
             return None
         except TimeoutError:
+            if active_call.connection == connects.NONE:
+                raise self._not_sent(active_call, upstream, started) from None
             self._record_timeout(upstream, response is not None)
             self.attempt_log.record_attempt(
                 active_call, upstream, "no-answer-in-time", started, ""
@@ -177,6 +181,29 @@
             )
             return None
 
+    def _not_sent(
+        self,
+        active_call: calls.ActiveCall,
+        upstream: upstreamstats.UpstreamStats,
+        started: float,
+    ) -> errors.RefusedError:
+        """Returns the refusal of a call that got no connection in time."""
+        active_call.received_by.discard(upstream.record.id)
+        self.attempt_log.record_attempt(
+            active_call, upstream, "no-connection-in-time", started, ""
+        )
+        if active_call.executions:
+            return errors.refuse(
+                errors.Kind.DEADLINE, "no reply came in time", "unknown"
+            )
+        # Callers may send again what they must not repeat otherwise.
+        return errors.refuse(
+            errors.Kind.NO_ROOM,
+            "no connection to an upstream was open in time",
+            "no",
+            MIN_RETRY_AFTER_SECONDS,
+        )
+
     def _record_connect_failed(
         self,
         active_call: calls.ActiveCall,
@@ -291,7 +318,9 @@
         self.reach_watch.record_reply(active_call.service, upstream.record.id)
         now = self.now()
         if head.running >= 0:
-            upstream.record_load_report(head.running, head.waiting, now)
+            active_call.pool.record_load(
+                upstream, head.running, head.waiting, head.pace, now
+            )
             # This request has ended at the upstream, but this VM still counts
             # it as in flight.
             upstream.others_in_flight = max(0.0, upstream.others_in_flight + 1)
@@ -358,7 +387,9 @@
         now = self.now()
         upstream = choice.upstream
         object_id = active_call.object
-        expected_seconds = choice.expected_seconds
+        # What the upstream's pace explains is no slowness that lasts.
+        pace_ratio = max(1.0, upstream.current_pace(now) / choice.pace)
+        expected_seconds = choice.expected_seconds * pace_ratio
         if choice.wait_seconds == 0.0 and upstream.current_slowness(now) < 1.5:
             is_warm = (
                 object_id is not None and object_id in upstream.warm_objects
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -27,6 +27,8 @@
 # Upstreams that are evaluated for a request in its preferred region, and again
 # in the other regions. More are evaluated only if none of these has room.
 CANDIDATE_COUNT = 12
+# Age from which an upstream's slowness is no reason to refuse a request.
+SLOWNESS_AGE_SECONDS = 1.0
 
 
 class Choice:
@@ -42,6 +44,7 @@
             first.
         wait_seconds: Expected wait for a slot.
         work_seconds: Expected processing time, including network latency.
+        pace: Pace of the upstream that was expected; see `upstreamstats`.
         excess_wait_seconds: Expected wait beyond the acceptable wait.
     """
 
@@ -50,6 +53,7 @@
         "rank",
         "wait_seconds",
         "work_seconds",
+        "pace",
         "excess_wait_seconds",
     )
 
@@ -60,8 +64,10 @@
         wait_seconds: float,
         work_seconds: float,
         excess_wait_seconds: float = 0.0,
+        pace: float = 1.0,
     ) -> None:
         self.excess_wait_seconds = excess_wait_seconds
+        self.pace = pace
         self.upstream = upstream
         self.rank = rank
         self.wait_seconds = wait_seconds
@@ -72,6 +78,18 @@
         """Expected time to the response."""
         return self.wait_seconds + self.work_seconds
 
+    def least_work_seconds(self, now: float) -> float:
+        """Returns the expected processing time without what may be outdated.
+
+        An idle upstream that was slow, but has answered nothing lately, may be
+        as fast as usual again: a request must not be refused for that.
+        """
+        upstream = self.upstream
+        heard_seconds = now - upstream.decayed_at
+        if upstream.load(now) >= 1 or heard_seconds < SLOWNESS_AGE_SECONDS:
+            return self.work_seconds
+        return self.work_seconds / max(1.0, upstream.current_slowness(now))
+
 
 class Considered:
     """An upstream that was weighed for a request.
@@ -191,8 +209,8 @@
             stats.record = record
             self.upstreams[record.id] = stats
         room_ratios = rankings.room_ratios(self.upstreams.values(), regions)
-        self.rankings.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
         self._set_fleet(self.fleet.vms, room_ratios)
+        self.rankings.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
         if [*previous.values()] != [*self.upstreams.values()]:
             self.rankings.clear()
 
@@ -345,6 +363,19 @@
         other = self._best_candidate(ranking.others, required, now)
         return self._choose_region(preferred, other, now)
 
+    def record_load(
+        self,
+        upstream: upstreamstats.UpstreamStats,
+        running: int,
+        waiting: int,
+        pace: float | None,
+        now: float,
+    ) -> None:
+        """Records the load and pace that an upstream states in a response."""
+        upstream.record_load_report(running, waiting, now)
+        if pace is not None:
+            upstream.record_pace(pace, now)
+
     def _best_candidate(
         self,
         ranked: list[tuple[int, upstreamstats.UpstreamStats]],
@@ -463,4 +494,5 @@
         excess = costs.excess_wait_seconds(
             upstream, rank, required, wait, work, now
         )
-        return Choice(upstream, rank, wait, work, excess)
+        pace = upstream.current_pace(now)
+        return Choice(upstream, rank, wait, work, excess, pace)
--- a/src/pollenseam/upstreamstats.py
+++ b/src/pollenseam/upstreamstats.py
@@ -8,6 +8,10 @@
 
 MAX_WARM_OBJECTS = 48
 REPORT_HALF_LIFE_SECONDS = 0.7
+# A stated pace changes many times a second: it is soon worth nothing.
+PACE_HALF_LIFE_SECONDS = 0.3
+MIN_PACE = 0.1
+MAX_PACE = 20.0
 SLOWNESS_WEIGHT = 0.25
 SLOWNESS_HALF_LIFE_SECONDS = 3.0
 MIN_SLOWNESS = 0.5
@@ -54,6 +58,9 @@
         in_flight: Requests of this VM that are running on the upstream.
         others_in_flight: Requests of other VMs, from the last load report.
         reported_at: Time of the last load report.
+        pace: How long work takes, by the usual time, as last stated; 1.0 for
+            upstreams that do not state it.
+        paced_at: Time at which the pace was stated.
         slowness: Smoothed ratio of observed to expected response time.
         failure_ratio: Smoothed fraction (0 to 1) of requests that failed or
             were shed.
@@ -87,6 +94,8 @@
         "in_flight",
         "others_in_flight",
         "reported_at",
+        "pace",
+        "paced_at",
         "slowness",
         "failure_ratio",
         "decayed_at",
@@ -114,6 +123,8 @@
         self.in_flight = 0
         self.others_in_flight = 0.0
         self.reported_at = now
+        self.pace = 1.0
+        self.paced_at = now
         self.slowness = 1.0
         self.failure_ratio = 0.0
         self.decayed_at = now
@@ -159,6 +170,16 @@
         self.others_in_flight = max(0.0, running + waiting - self.in_flight)
         self.reported_at = now
 
+    def record_pace(self, pace: float, now: float) -> None:
+        """Records how long work takes on the upstream, by the usual time."""
+        self.pace = min(MAX_PACE, max(MIN_PACE, pace))
+        self.paced_at = now
+
+    def current_pace(self, now: float) -> float:
+        """Returns the pace, decayed towards 1 since it was stated."""
+        factor = _decay_factor(now - self.paced_at, PACE_HALF_LIFE_SECONDS)
+        return 1 + (self.pace - 1) * factor
+
     def record_success(
         self, object: str | None, seconds: float, expected: float, now: float
     ) -> None:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import pytest
+
 from pollenseam import costs
 from pollenseam import hashing
 from pollenseam import pacing
@@ -270,6 +272,47 @@
     assert not first.is_unreachable(1.0)
 
 
+def test_an_upstream_that_states_a_slow_pace_is_left_for_a_moment_only():
+    """Guards against speeds that change many times a second.
+
+    A stated pace is believed at once, and forgotten as fast.
+    """
+    pool = pool_of({"a1": 3})
+    first = pool.choose(required(), 0.0).upstream
+    first.warm_objects["7"] = None
+    first.end(first.begin(0.5, 0.0))
+    usual = pool.choose(required(), 0.0).work_seconds
+    pool.record_load(first, 0, 0, 2.5, 0.0)
+    slow = pool.choose(required(), 0.0)
+    assert slow.upstream is first
+    assert slow.work_seconds == pytest.approx(2.5 * usual)
+    pool.record_load(first, 0, 0, 12.0, 0.0)
+    assert choose(pool) != first.record.id
+    assert choose(pool, now=2.0) == first.record.id
+
+
+def test_an_upstream_without_a_stated_pace_is_judged_as_before():
+    pool = pool_of({"a1": 3})
+    first = pool.choose(required(), 0.0).upstream
+    before = pool.choose(required(), 0.0).work_seconds
+    pool.record_load(first, 0, 0, None, 0.0)
+    assert pool.choose(required(), 0.0).work_seconds == before
+
+
+def test_an_idle_upstream_is_not_refused_for_slowness_of_the_past():
+    """Guards against refusals while servers are idle."""
+    pool = pool_of({"a1": 1})
+    first = pool.choose(required(), 0.0).upstream
+    for _ in range(8):
+        first.record_success("8", 5.0, 0.5, 0.0)
+    lately = pool.choose(required(), 0.5)
+    assert lately.least_work_seconds(0.5) == lately.work_seconds
+    later = pool.choose(required(), 2.0)
+    usual_seconds = later.work_seconds / first.current_slowness(2.0)
+    assert later.work_seconds > 2 * usual_seconds
+    assert later.least_work_seconds(2.0) == pytest.approx(usual_seconds)
+
+
 def serve(pool, object, now, seconds=0.01):
     """Serves a request; returns the id of the upstream."""
     choice = pool.choose(required(object=object), now)
