Demand by region: VMs tell the leader what they get, and share objects out by it

Each VM assumed that all failure domains send alike, and objects that leave a region were spread over all upstreams elsewhere, also to regions that send objects away themselves.

A region keeps the objects that its part of the room serves; the others go to regions by what these have to spare (weighted rendezvous hashing).

--- a/src/pollenseam/entryoptions.py
+++ b/src/pollenseam/entryoptions.py
@@ -1,5 +1,6 @@
 """The options of an entry VM, of all its parts."""
 
+from pollenseam import demands
 from pollenseam import hedging
 from pollenseam import intake
 from pollenseam import options
@@ -35,6 +36,7 @@
     HELD_MEMORY_SHARE,
     CALLER_CONNECTION_SHARE,
     hedging.RATIO,
+    demands.SHARING_VMS,
     rankorder.STRENGTH,
     rankorder.FLOOR,
     UPSTREAM_BODY_BYTES,
--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -11,6 +11,7 @@
 from pollenseam import calls
 from pollenseam import controlmessages
 from pollenseam import crashwatch
+from pollenseam import demands
 from pollenseam import dispatcher
 from pollenseam import entryoptions
 from pollenseam import errors
@@ -188,7 +189,7 @@
             self.now,
             lambda: self.own_record,
             self.fleet_view,
-            self._log_statements,
+            self._adopt_observations,
             lambda: self.follower.directory.controls,
             self.rank_watch.order,
         )
@@ -359,6 +360,8 @@
         if regions != self.vms.regions:
             self.vms = pacing.Vms(regions)
         self._divide_cold_rates()
+        sharing_vms = self.options.get(demands.SHARING_VMS)
+        self.fleet_view.shares_demand = len(directory.entries) >= sharing_vms
 
     def _apply_update(self, update: registrysync.Update) -> None:
         started_at = self.now()
@@ -435,6 +438,24 @@
             rate = service.cold_rate if service is not None else 0.0
             pool.set_cold_limit(rate, self.vms)
 
+    def _adopt_observations(
+        self, statements: list[upstreamstatements.Statement]
+    ) -> None:
+        self._log_statements(statements)
+        view = self.fleet_view.demand_view
+        if not view.has_changed:
+            return
+        view.has_changed = False
+        for service, pool in self.pools.items():
+            shares = view.by_service.get(service, {})
+            pool.divide_demand(self.settings.regions, shares)
+            self.log.emit_often(
+                "demand-divided",
+                service=service,
+                home_ratio=pool.rankings.home_ratio,
+                shares=",".join(f"{r}:{s:g}" for r, s in shares.items()),
+            )
+
     def _log_statements(
         self, statements: list[upstreamstatements.Statement]
     ) -> None:
@@ -485,6 +506,8 @@
         try:
             active_call = self._admit(call)
             await self._take_token(call, active_call.deadline)
+            meter = self.fleet_view.demand_meter
+            meter.record(active_call.service, self.now())
             self.rank_watch.check(active_call)
             reply = await self._dispatch(active_call)
             self.link.send(len(reply.body), self.now())
--- a/src/pollenseam/observations.py
+++ b/src/pollenseam/observations.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pollenseam import crashes
+from pollenseam import demands
 from pollenseam import scarcityboard
 from pollenseam import scarcitymessages
 from pollenseam import suspects
@@ -23,11 +24,13 @@
         term: Term of the leader.
         statements: Revision of the upstreams' statements.
         crashes: Revision of the record of crashes.
+        demands: Revision of the regions' shares of the demand.
     """
 
     term: int = 0
     statements: int = 0
     crashes: int = 0
+    demands: int = 0
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
@@ -40,6 +43,7 @@
         succeeded: Fingerprints of suspects that ran successfully.
         blocks: Blocks that the VM knows, if the leader may be new.
         loads: What the VM saw of services that may be short of room.
+        rates: Requests that the VM gets.
     """
 
     known: Revisions = Revisions()
@@ -48,6 +52,7 @@
     succeeded: tuple[bytes, ...] = ()
     blocks: tuple[crashes.Suspicion, ...] = ()
     loads: tuple[scarcitymessages.ServiceLoad, ...] = ()
+    rates: tuple[demands.Rate, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True):
@@ -58,12 +63,14 @@
         statements: Statements of upstreams that changed since.
         suspicions: Suspected requests that changed since.
         rooms: Services that may be short of room in the VM's region.
+        demand_shares: Regions' shares of the demand that changed since.
     """
 
     revisions: Revisions
     statements: list[upstreamstatements.Statement]
     suspicions: list[crashes.Suspicion]
     rooms: list[scarcitymessages.ServiceRoom] = []
+    demand_shares: list[demands.Shares] = []
 
 
 class Sender:
@@ -87,14 +94,27 @@
     Attributes:
         statements: What upstreams stated in their responses.
         watchlist: Requests that may crash upstreams.
+        demand_meter: Counts the requests that this VM gets.
+        demand_view: What each region asks for.
+        shares_demand: Whether this VM reports its requests.
         known: What was received from the leader.
     """
 
-    __slots__ = ("statements", "watchlist", "known")
+    __slots__ = (
+        "statements",
+        "watchlist",
+        "demand_meter",
+        "demand_view",
+        "shares_demand",
+        "known",
+    )
 
     def __init__(self) -> None:
         self.statements = upstreamstatements.Table()
         self.watchlist = suspects.Watchlist()
+        self.demand_meter = demands.Meter()
+        self.demand_view = demands.View()
+        self.shares_demand = False
         self.known = Revisions()
 
     def build_report(
@@ -119,6 +139,7 @@
             tuple(watchlist.succeeded),
             tuple(watchlist.blocks(now)) if is_full else (),
             loads,
+            tuple(self.demand_meter.rates(now)) if self.shares_demand else (),
         )
 
     def receive(
@@ -134,6 +155,7 @@
         changed = self.statements.adopt(update.statements, now)
         self.watchlist.mark_reported(report.crashed_runs, report.succeeded)
         self.watchlist.adopt(update.suspicions, now)
+        self.demand_view.adopt(update.demand_shares, now)
         return changed
 
 
@@ -146,15 +168,23 @@
         on_block: Called with the fingerprint of each request that is
             blocked.
         scarcity_board: Loads of services that may be short of room.
+        demand_board: What each region asks for.
     """
 
-    __slots__ = ("statements", "blocklist", "on_block", "scarcity_board")
+    __slots__ = (
+        "statements",
+        "blocklist",
+        "on_block",
+        "scarcity_board",
+        "demand_board",
+    )
 
     def __init__(self, on_block: Callable[[bytes], None]) -> None:
         self.statements = upstreamstatements.Table()
         self.blocklist = crashes.Blocklist()
         self.on_block = on_block
         self.scarcity_board = scarcityboard.Board()
+        self.demand_board = demands.Board()
 
     def answer(
         self,
@@ -174,16 +204,23 @@
         self.statements.adopt(report.statements, now)
         self._adopt_crashes(report, now)
         known = report.known if report.known.term == term else Revisions()
+        demand_shares: list[demands.Shares] = []
+        if sender is not None:
+            board = self.demand_board
+            board.record(sender.name, sender.region, report.rates, now)
+            demand_shares = board.changes_since(known.demands, now)
         revisions = Revisions(
             term,
             self.statements.records.revision,
             self.blocklist.suspects.revision,
+            self.demand_board.revision,
         )
         return Update(
             revisions,
             self.statements.changes_since(known.statements, now),
             self.blocklist.changes_since(known.crashes, now),
             self._exchange_loads(report, sender, now),
+            demand_shares,
         )
 
     def _exchange_loads(
--- a/src/pollenseam/steering.py
+++ b/src/pollenseam/steering.py
@@ -144,6 +144,8 @@
         work_estimates: Expected processing time by route.
         rankings: Rankings of the upstreams, by object.
         overflow_limit: Limits requests that leave their preferred region.
+        demand_shares: Share of the service's requests by region; empty if
+            unknown.
         kept_away: Times that a request was kept away from an upstream, by what
             the upstream stated: "leaving", "pause" or "rate".
     """
@@ -158,6 +160,7 @@
         "work_estimates",
         "rankings",
         "overflow_limit",
+        "demand_shares",
         "kept_away",
     )
 
@@ -177,6 +180,7 @@
         self.cold_rate = 0.0
         self.work_estimates = work_estimates
         self.overflow_limit = overflow.OverflowLimit()
+        self.demand_shares: Mapping[str, float] = {}
         self.kept_away: collections.Counter[str] = collections.Counter()
         self.rankings = rankings.Rankings(region)
 
@@ -210,10 +214,28 @@
             self.upstreams[record.id] = stats
         room_ratios = rankings.room_ratios(self.upstreams.values(), regions)
         self._set_fleet(self.fleet.vms, room_ratios)
-        self.rankings.home_ratio = min(1.0, room_ratios.get(self.region, 1.0))
+        self.divide_demand(regions, self.demand_shares)
         if [*previous.values()] != [*self.upstreams.values()]:
             self.rankings.clear()
 
+    def divide_demand(
+        self, regions: Mapping[str, str], demand_shares: Mapping[str, float]
+    ) -> None:
+        """Sets which objects leave their region, by what each region asks for.
+
+        Args:
+            regions: Region of each failure domain.
+            demand_shares: Share of the requests by region; empty if unknown.
+        """
+        self.demand_shares = demand_shares
+        room = rankings.room_ratios(
+            self.upstreams.values(), regions, demand_shares
+        )
+        self.rankings.divide(
+            min(1.0, room.get(self.region, 1.0)),
+            rankings.spare_weights(room, demand_shares),
+        )
+
     def set_cold_limit(self, rate: float, vms: pacing.Vms) -> None:
         """Sets the rate that cold upstreams accept and the VMs of the fleet.
 
