Order under scarcity: off by default

What the upstreams take while they turn others away is taken for their room; refusing more keeps it there.

rank_order_strength is 0 unless the operator sets it. Tests of the order set it to 1; the assertions are as they were.

--- a/src/pollenseam/rankorder.py
+++ b/src/pollenseam/rankorder.py
@@ -16,7 +16,7 @@
 
 STRENGTH = options.Option(
     "rank_order_strength",
-    1.0,
+    0.0,
     0.0,
     1.0,
     "part",
--- a/tests/test_rankorder.py
+++ b/tests/test_rankorder.py
@@ -37,7 +37,8 @@
         self.slots = 100
         self.free = room * QUEUE_SECONDS
         self.board = scarcityboard.Board()
-        self.option_values = options.Options(values)
+        in_full = {rankorder.STRENGTH.name: 1.0}
+        self.option_values = options.Options(in_full | (values or {}))
         self.orders = [self.start() for _ in range(vms)]
         # Work per second by rank and workspace.
         self.demands = {}
--- a/tests/test_rankwatch.py
+++ b/tests/test_rankwatch.py
@@ -11,6 +11,7 @@
 from pollenseam import metrics
 from pollenseam import observations
 from pollenseam import options
+from pollenseam import rankorder
 from pollenseam import rankwatch
 from pollenseam import routing
 from pollenseam import scarcitymessages
@@ -69,7 +70,10 @@
 
 def open_watch():
     watch = rankwatch.RankWatch(
-        options.Options(), Lines(), metrics.EntryMetrics(), lambda: 1.0
+        options.Options({rankorder.STRENGTH.name: 1.0}),
+        Lines(),
+        metrics.EntryMetrics(),
+        lambda: 1.0,
     )
     watch.adopt_table(
         table([route("/a/", "s1", 0), route("/b/", "s1", 1)], [None])
