--- a/src/pollenseam/entryvm.py
+++ b/src/pollenseam/entryvm.py
@@ -647,6 +647,7 @@
                 "log_lines_dropped": self.log.dropped,
                 "entry_vms": len(self.follower.directory.entries),
                 "dropped_rooms": self.rank_watch.order.refused_count,
+                "dropped_demands": self.fleet_view.demand_view.refused_count,
                 **self._statement_gauges(),
                 "upstream_body_bytes": sum(
                     self.dispatcher.upstream_bytes.in_flight.values()
