Simulated runs repeat: seeded lots, replicas sent to in one order

Cause: a simulated run with the same seed took another course in each process. Control VMs draw whom they ask to join from the shared generator of random, which nothing seeded; and a leader's messages left in the order of a set of strings, which differs with the hash of strings.

Changed: simulation.run seeds the shared generator and puts its state back afterwards. Replica._track_members goes by the order of the configuration.

--- a/src/pollenseam/replica.py
+++ b/src/pollenseam/replica.py
@@ -511,9 +511,11 @@
             self._track_members(self.last_entry_at)
 
     def _track_members(self, now: float) -> None:
-        ids = self.members.voters.keys() | self.members.learners.keys()
-        for id in ids - {self.id}:
-            if id not in self.progress:
+        # Not a set: its order, and so that of the messages, would differ from
+        # process to process.
+        ids = [*self.members.voters, *self.members.learners]
+        for id in ids:
+            if id != self.id and id not in self.progress:
                 self.progress[id] = quorumlog.Progress(
                     self.log.last_index + 1, now
                 )
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -371,9 +371,18 @@
 
 
 def run(main, seed):
-    """Runs a coroutine in a loop with virtual time."""
-    with asyncio.Runner(loop_factory=lambda: Loop(seed)) as runner:
-        return runner.run(main)
+    """Runs a coroutine in a loop with virtual time.
+
+    The product draws lots from the shared generator of `random`, which is
+    seeded meanwhile.
+    """
+    state = random.getstate()
+    random.seed(seed)
+    try:
+        with asyncio.Runner(loop_factory=lambda: Loop(seed)) as runner:
+            return runner.run(main)
+    finally:
+        random.setstate(state)
 
 
 def data_files(machine):
