Simulated elections draw other time-outs with each seed of a fleet

Cause: the seeds of election time-outs were 0, 1, 2 ... in every simulated fleet, so that all seeds of test_elections drew the same ones.

Changed: the seed of the fleet goes into them. A test of full disks waited until the last line of a log, looked at every 50 ms, named a leader; the refusing disk wrote the next line sooner with other draws. It now waits until the replica knows its leader, as strictly.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -233,7 +233,8 @@
 
     Attributes:
         folder: Folder of the disks.
-        random: Source of all that is random.
+        seed: Seed of all that is random.
+        random: Source of what the fleet itself draws.
         vms: The VMs.
         acknowledged: Highest version that was acknowledged.
         ended_tasks: Lines of VMs that would have ended by themselves.
@@ -241,6 +242,7 @@
 
     def __init__(self, folder, seed, domains):
         self.folder = folder
+        self.seed = seed
         self.random = random.Random(seed)
         self.network = Network(seed)
         self.faulty_os = fakedisks.FaultyOs([])
@@ -255,7 +257,8 @@
     def patch_modules(self, monkeypatch):
         """Replaces clock, disk, network and random ids of the product."""
         ids = (f"{n:08x}" for n in itertools.count())
-        seeds = itertools.count()
+        # Of election time-outs: others with each seed of a fleet.
+        seeds = itertools.count(self.seed << 32)
         loop_time = lambda: asyncio.get_running_loop().time()  # noqa: E731
         monkeypatch.setattr(vm, "boot_seconds", loop_time)
         monkeypatch.setattr(files, "os", self.faulty_os)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -149,7 +149,8 @@
         for machine in others:
             machine.start()
         await fleet.wait_until(fleet.leaders, 5.0)
-        await fleet.wait_until(lambda: "leader=" in late.lines[-1], 1.0)
+        late_replica = late.control.replica_runner.replica
+        await fleet.wait_until(lambda: late_replica.leader, 1.0)
         late.disk.heal()
         await fleet.wait_until(fleet.is_whole, 5.0)
         assert len(fleet.lines("quorum-founded")) == 3
