Open streams between control VMs go both ways

Cause: pre-votes took 0.2 s and more, long enough for rivals to stand and split the vote. Each replica kept streams to the next ones in the order of the ids; a vote returns by the voter's own stream, and of 18 voters only 5 of the 11 that a candidate reached had one to it. The others opened a connection first.

Changed: outbox.neighbours takes as many before as after a replica in the ring of ids, so that both ways of a pair are open: 12 streams of each of 18 voters, 11 before. A replica that is no voter keeps none open beforehand; it cannot stand.

Bytes between regions were not measured.

--- a/src/pollenseam/outbox.py
+++ b/src/pollenseam/outbox.py
@@ -2,11 +2,11 @@
 
 The streams to a majority of the voters are open before they are needed: an
 election would otherwise wait for connections between replicas that never spoke
-to each other, while more and more of them stand.
+to each other, while more and more of them stand. Both ways of a pair are, as
+a vote returns by the voter's own stream.
 """
 
 import asyncio
-import bisect
 from collections.abc import AsyncIterator
 
 from pollenseam import errors
@@ -63,20 +63,12 @@
             queue.put_nowait(outgoing.message)
 
     def connect(self) -> None:
-        """Opens streams to a majority of the voters, if they are not open.
-
-        Each replica takes the next ones in the order of the ids, so that every
-        voter is reached by equally many.
-        """
+        """Opens streams to a majority of the voters, if they are not open."""
         if self._connected_members is self.replica.members:
             return
         self._connected_members = self.replica.members
-        ids = sorted(self.replica.members.voters)
-        position = bisect.bisect_right(ids, self.replica.id)
-        others = ids[position:] + ids[:position]
-        for id in others[: len(ids) // 2 + SPARE_STREAMS]:
-            if id != self.replica.id:
-                self._get_queue(id)
+        for id in neighbours(self.replica.members, self.replica.id):
+            self._get_queue(id)
 
     def cancel(self) -> None:
         """Stops to send."""
@@ -141,3 +133,24 @@
         # A candidate or leader may belong to a configuration that this replica
         # does not have yet.
         return self.replica.address(id) or self.reported_addresses.get(id, "")
+
+
+def neighbours(members: messages.Members, id: str) -> list[str]:
+    """Returns the voters to which a replica keeps streams open, by their ids.
+
+    They are as many before as after it in the order of the ids, which is taken
+    as a ring: two voters are neighbours of each other or neither is. With the
+    replica they are a majority, and SPARE_STREAMS more.
+
+    Args:
+        members: The configuration.
+        id: Id of the replica. The result is empty unless it is a voter.
+    """
+    ids = sorted(members.voters)
+    if id not in members.voters:
+        return []
+    position = ids.index(id)
+    others = ids[position + 1 :] + ids[:position]
+    # Of an odd number one more is taken.
+    reach = (len(ids) // 2 + SPARE_STREAMS + 1) // 2
+    return list(dict.fromkeys([*others[:reach], *others[-reach:]]))
