Keepers that do not lend yet are asked again while the request still waits

Not the cause: overrates (without: 6 of 296), the quiet after leading (without: 6), demands (these entry VMs report none). Without any quiet: 2.

Now an answer says whether the keeper lends now. If no keeper did, the VM asks again after 0.1 s; an empty reserve is asked again after 0.3 s as before, also that of a control VM that does not say so. Quiet times, and what a keeper lends, are as they were.

--- a/src/pollenseam/borrowing.py
+++ b/src/pollenseam/borrowing.py
@@ -16,6 +16,9 @@
 CALL_TIMEOUT_SECONDS = 0.2
 # Time after which a reserve that had too little is asked again.
 EMPTY_SECONDS = 0.3
+# The same if no keeper lent from it, as one may begin to at any time. A request
+# waits shares.TOKEN_WAIT_SECONDS, and should be able to ask more than once.
+QUIET_SECONDS = 0.1
 
 FindControls = Callable[[], list[controlmessages.ControlVm]]
 
@@ -104,6 +107,7 @@
     ) -> None:
         wanted = float(account.waiting)
         request = controlmessages.Borrow(resource, wanted)
+        is_empty = False
         for address in reserves.keepers(resource, self.find_controls()):
             if address == self._leader and self._is_leader_silent(self.now()):
                 continue
@@ -121,7 +125,9 @@
             self._receive(resource, account, wanted, response)
             if response.tokens > 0:
                 return
-        self.asks_again_at[resource] = self.now() + EMPTY_SECONDS
+            is_empty = is_empty or response.is_lending
+        pause = EMPTY_SECONDS if is_empty else QUIET_SECONDS
+        self.asks_again_at[resource] = self.now() + pause
 
     def _receive(
         self,
--- a/src/pollenseam/controlmessages.py
+++ b/src/pollenseam/controlmessages.py
@@ -205,11 +205,14 @@
         tokens: Whole tokens that the receiver may use.
         leader: Address of the leader, or "" if unknown.
         logical: Logical clock of the sender.
+        is_lending: Whether the sender lends from this reserve now; without
+            tokens, its reserve is empty.
     """
 
     tokens: float
     leader: str
     logical: int = 0
+    is_lending: bool = True
 
 
 def check_record(record: EntryVm | ControlVm) -> None:
--- a/src/pollenseam/reservekeeper.py
+++ b/src/pollenseam/reservekeeper.py
@@ -90,7 +90,9 @@
             may_lend=may_lend,
             age_ms=self.age_ms(),
         )
-        return controlmessages.BorrowResponse(tokens, runner.leader_address)
+        return controlmessages.BorrowResponse(
+            tokens, runner.leader_address, is_lending=is_lent
+        )
 
     def _lend(self, request: controlmessages.Borrow) -> float:
         item = self.find_registry().items.get(
--- a/tests/test_borrowing.py
+++ b/tests/test_borrowing.py
@@ -1,5 +1,6 @@
 """Borrowing of reserve tokens, on both sides."""
 
+import asyncio
 import math
 
 import pytest
@@ -7,6 +8,7 @@
 from pollenseam import borrowing
 from pollenseam import buckets
 from pollenseam import controlmessages
+from pollenseam import events
 from pollenseam import leases
 from pollenseam import reserves
 
@@ -76,3 +78,73 @@
         before = reserves.keepers(workspace, known)
         if lost.address not in before:
             assert reserves.keepers(workspace, left) == before
+
+
+class NoLog:
+    """A log that nobody reads."""
+
+    def info(self, line):
+        pass
+
+
+class Keepers:
+    """Stands in for `peers.Client`: keepers with no tokens.
+
+    Attributes:
+        is_lending: Whether each lends, by address.
+        asked: Addresses that were asked.
+    """
+
+    def __init__(self, is_lending):
+        self.is_lending = is_lending
+        self.asked = []
+
+    async def call(self, address, method, request, timeout_seconds):
+        self.asked.append(address)
+        return controlmessages.BorrowResponse(
+            0.0, "", is_lending=self.is_lending[address]
+        )
+
+
+@pytest.mark.parametrize(
+    ("is_lending", "asked_at"),
+    [
+        ((False, False), [0.0, 0.1, 0.2]),
+        ((False, True), [0.0]),
+        ((True, False), [0.0]),
+    ],
+)
+async def test_keepers_that_do_not_lend_yet_are_asked_again_in_time(
+    is_lending, asked_at
+):
+    """Guards against requests refused as a keeper began to lend too late.
+
+    They wait a quarter of a second, and an empty reserve is asked again after
+    more than that.
+    """
+    addresses = reserves.keepers("w", controls(2))
+    keepers = Keepers(dict(zip(addresses, is_lending, strict=True)))
+    now = 0.0
+    borrower = borrowing.Borrower(
+        events.EventLog("e", events.LogicalClock(), NoLog()),
+        keepers,
+        lambda: now,
+        lambda: controls(2),
+        lambda leader: None,
+    )
+    account = buckets.Account(now)
+    account.update_valid_until = 10.0
+    account.waiting = 1
+    borrower.borrows_until = 10.0
+    times = []
+    for step in range(25):
+        now = step / 100
+        keepers.asked.clear()
+        borrower.ask("w", account)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        if keepers.asked:
+            assert keepers.asked == addresses
+            times.append(now)
+    borrower.close()
+    assert times == asked_at
