Over-rate requests are refused and spread as before unless the order is on

The early refusal and the spread of returns took effect on every deployment. What is new takes effect where the operator asks for it.

--- a/src/pollenseam/rankorder.py
+++ b/src/pollenseam/rankorder.py
@@ -267,14 +267,18 @@
 
     def find(self, service: str) -> ServiceOrder | None:
         """Returns a service's order, or None if none applies to it."""
-        strength = self.option_values.get(STRENGTH)
-        if service not in self.ranked_services or strength <= 0:
+        if service not in self.ranked_services or not self.is_on:
             return None
         order = self.orders.get(service)
         if order is None:
             order = self.orders[service] = ServiceOrder(self.now())
         return order
 
+    @property
+    def is_on(self) -> bool:
+        """Whether the operator wants an order where room is scarce."""
+        return self.option_values.get(STRENGTH) > 0
+
     def decide(
         self,
         service: str,
--- a/src/pollenseam/shares.py
+++ b/src/pollenseam/shares.py
@@ -227,7 +227,9 @@
             if account.overdraft > 0:
                 self.wake.set()
             return
-        if overrates.is_hopeless(account, TOKEN_WAIT_SECONDS, self.now()):
+        if self.order.is_on and overrates.is_hopeless(
+            account, TOKEN_WAIT_SECONDS, self.now()
+        ):
             raise self._over_rate(account, limit)
         account.waiting += 1
         self.wake.set()
@@ -253,7 +255,10 @@
         """Returns the refusal of a request over its workspace's rate."""
         now = self.now()
         share = account.bucket.held(now)
-        spread = overrates.spread_seconds(account, random.random(), now)
+        spread = 0.0
+        if self.order.is_on:
+            position = random.random()
+            spread = overrates.spread_seconds(account, position, now)
         return errors.refuse(
             errors.Kind.OVER_RATE,
             f"over the rate: {account.demand.rate:.3g}/s here, share "
