--- a/src/pollenseam/intake.py
+++ b/src/pollenseam/intake.py
@@ -20,8 +20,6 @@
 RETRY_SECONDS = 1.0
 # Part of the limit that is closed at once, as each look for idle ones costs.
 SHED_SHARE = 1 / 32
-
-
 # What a machine has if its limits are not stated.
 DEFAULT_MEMORY_BYTES = 300_000_000
 DEFAULT_DESCRIPTORS = 4100
