--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -159,8 +159,8 @@
             "serves": "control,directory" if is_core else "front",
             "ip": self.ip,
             "zone": self.zone,
-            "region": ZONES[self.zone],
-            **{f"zones.{zone}": region for zone, region in ZONES.items()},
+            "region": deployment.zones[self.zone],
+            **{f"zones.{z}": region for z, region in deployment.zones.items()},
             "internal_port_range": f"{first},{last}",
             "seeds": ",".join(deployment.seeds),
             "bootstrap": str(is_first_start).lower(),
@@ -169,7 +169,7 @@
             "limits.max_fds": 4100,
             "limits.link_mbps": 1000.0,
             "heartbeat_s": HEARTBEAT_SECONDS,
-            "tolerate.machines": 1,
+            "tolerate.machines": deployment.tolerated,
             "bounds.contact_s": 3,
             "bounds.ack_s": ACK_SECONDS,
             "bounds.catch_up_s": CATCH_UP_SECONDS,
@@ -247,9 +247,17 @@
 class Deployment:
     """The VMs of a deployment, and the operator and callers that use them."""
 
-    def __init__(self, folder: pathlib.Path, record: Record) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        record: Record,
+        zones: dict[str, str],
+        tolerated: int,
+    ) -> None:
         self.folder = folder
         self.record = record
+        self.zones = zones
+        self.tolerated = tolerated
         self.prefix = free_prefix()
         self.vms: list[Vm] = []
         self.request_count = 0
@@ -280,7 +288,7 @@
         """Starts the whole system for the first time."""
         if not (ROOT / "target" / "deps").is_dir():
             raise CannotRunError("the build of the deploy file is missing")
-        zones = list(ZONES)
+        zones = list(self.zones)
         for n in range(core_count):
             self.add("core", zones[n % len(zones)])
         for n in range(front_count):
@@ -573,13 +581,15 @@
     core_count: int,
     front_count: int,
     server_count: int,
+    zones: dict[str, str] | None = None,
+    tolerated: int = 1,
 ) -> AsyncIterator[tuple[Deployment, list[Server]]]:
     """Yields a deployment that has served for a while, and its servers.
 
     Raises:
         CannotRunError: It does not serve after 40 s.
     """
-    deployment = Deployment(folder, record)
+    deployment = Deployment(folder, record, zones or ZONES, tolerated)
     servers: list[Server] = []
 
     async def is_accepted() -> bool:
@@ -597,7 +607,7 @@
         if not await wait_until(is_accepted, 25.0):
             raise CannotRunError("the first desired state is not accepted")
         for n in range(server_count):
-            zone = list(ZONES)[n % len(ZONES)]
+            zone = list(deployment.zones)[n % len(deployment.zones)]
             server = Server(deployment, f"i-{n}{os.getpid():06d}", zone)
             await server.start()
             servers.append(server)
