--- a/review/standins_3/cases.py
+++ b/review/standins_3/cases.py
@@ -16,7 +16,7 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run(play, core_count, front_count):
+def run(play, core_count, front_count, **limits):
     """Plays a case and ends the process.
 
     Args:
@@ -24,12 +24,13 @@
             the rule, or "" if it held.
         core_count: Number of machines of the core.
         front_count: Number of front machines.
+        **limits: Limits of a process, see `deployment.Deployment`.
     """
     folder = pathlib.Path(sys.argv[0]).resolve().parent
 
     async def play_all():
         system = deployment.Deployment(
-            folder / "record.txt", core_count, front_count
+            folder / "record.txt", core_count, front_count, **limits
         )
         try:
             async with asyncio.timeout(MAX_SECONDS):
--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -110,8 +110,8 @@
             "in_tolerance": str(is_core).lower(),
             "limits.cpu_share": "0.86",
             "limits.cores": "1",
-            "limits.memory_mb": "300",
-            "limits.max_fds": "4100",
+            "limits.memory_mb": str(self.deployment.memory_mb),
+            "limits.max_fds": str(self.deployment.max_fds),
             "limits.link_mbps": "1000.0",
             "discovery": "registry",
             "entry": "directory",
@@ -177,7 +177,16 @@
         sent_at: Time at which each request was sent, by its id.
     """
 
-    def __init__(self, record_path, core_count, front_count):
+    def __init__(
+        self,
+        record_path,
+        core_count,
+        front_count,
+        memory_mb=300,
+        max_fds=4100,
+    ):
+        self.memory_mb = memory_mb
+        self.max_fds = max_fds
         deps = ROOT / "target" / "deps"
         if not deps.is_dir():
             raise CannotRunError("the build of the deploy file is missing")
--- a/review/standins_3/parties.py
+++ b/review/standins_3/parties.py
@@ -24,10 +24,12 @@
 # and a little longer.
 DRAIN_SECONDS = 3.5
 COLD_PER_SECOND = 2.9
+# A rate well above that, at which a cold server crashes.
+CRASH_PER_SECOND = 5 * COLD_PER_SECOND
 WORK_SECONDS = 0.04
 
 
-def initial_state(service, timeout_seconds=1.2, kind="safe"):
+def initial_state(service, kind="unsafe", timeout_seconds=1.2):
     """Returns the first desired state: a tenant, a service and a route."""
     return {
         "upsert": {
@@ -128,10 +130,14 @@
 
     It runs `slots` requests at a time and queues nine more. It checks in at its
     start and about every heartbeat_s, at once again if nobody acknowledged it.
+    While it is cold, it crashes at CRASH_PER_SECOND, with what it has taken.
     """
 
-    def __init__(self, system, id, service, ip, port=0, zone="kl-a"):
+    def __init__(
+        self, system, id, service, ip, port=0, zone="kl-a", answer_bytes=0
+    ):
         self.system = system
+        self.answer = b"x" * answer_bytes
         self.zone = zone
         self.id = id
         self.service = service
@@ -147,7 +153,10 @@
         self.acknowledged_at = None
         self.free_slots = asyncio.Semaphore(self.slots)
         self.waiting = 0
+        self.taken = set()
+        self.lost = set()
         self.writers = set()
+        self.is_up = False
         self.listener = None
         self.beating = None
 
@@ -157,13 +166,16 @@
             self._serve, self.ip, self.port
         )
         self.port = self.listener.sockets[0].getsockname()[1]
+        self.is_up = True
         self.cold_until = self.system.now() + COLD_SECONDS
         self.system.record("server", f"{self.id} starts at {self.ip}")
         self.beating = asyncio.create_task(self._beat())
 
     async def crash(self):
         """Ends at once: all connections are reset, none is accepted."""
-        self.system.record("server", f"{self.id} crashes")
+        self.system.record("server", f"{self.id} ends")
+        self.lost |= self.taken
+        self.is_up = False
         self.beating.cancel()
         self.listener.close()
         for writer in self.writers:
@@ -180,6 +192,8 @@
 
     async def leave(self):
         """Drains, gives notice and ends, as a planned end goes."""
+        if not self.is_up:
+            return
         self.system.record("server", f"{self.id} drains")
         self.state = "draining"
         self.beating.cancel()
@@ -251,15 +265,26 @@
         if self.waiting >= 9:
             lines.append("X-Not-Run: 1")
             return _response("503 Service Unavailable", lines)
+        self.taken.add(id)
+        if self._is_overrun():
+            await self.crash()
+            raise EOFError
         self.waiting += 1
         async with self.free_slots:
             self.waiting -= 1
             self.system.record("run", f"{self.id} {id}")
             await asyncio.sleep(self.work_seconds)
+        self.taken.discard(id)
         running = self.slots - self.free_slots._value
         lines.append(f"X-Reply-Stamp: {self.id}.{self.born}.{id}")
         lines.append(f"X-Server-Load: {running},{self.waiting},{self.slots}")
-        return _response("200 OK", lines, b"done " + body)
+        return _response("200 OK", lines, self.answer or b"done " + body)
+
+    def _is_overrun(self):
+        """Returns whether a cold server has more requests than it bears."""
+        now = self.system.now()
+        recent = [t for _, t in self.arrivals if t > now - 1.0]
+        return now < self.cold_until and len(recent) > CRASH_PER_SECOND
 
     def most_in_a_second(self, first, last):
         """Returns the most requests that one second of a span of time saw.
@@ -288,6 +313,16 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def request(method, id, deadline_ms=DEADLINE_MS):
+    """Returns a client's request without a body."""
+    return (
+        f"{method} {PREFIX}{id} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"X-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+        f"Cookie: X-Affinity-Key={random.randrange(24)}\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
 class Clients:
     """Clients that send requests at a rate, one to each front machine in turn.
 
@@ -318,19 +353,13 @@
 
     async def _send(self, machine):
         id = f"{next(self.numbers):016x}"
-        request = (
-            f"GET {PREFIX}{id} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Request-Id: {id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
-            f"Cookie: X-Affinity-Key={random.randrange(24)}\r\n"
-            f"Authorization: Bearer {KEY}\r\n\r\n"
-        ).encode()
         self.system.sent_at[id] = self.system.now()
         self.system.record("sent", f"{id} to {machine.name}")
         try:
             status, _, _ = await http1.call(
                 machine.ip,
                 deployment.FRONT_PORT,
-                request,
+                request("POST", id),
                 DEADLINE_MS / 1000,
             )
         except (OSError, TimeoutError, EOFError) as error:
