--- a/review/12/case.py
+++ b/review/12/case.py
@@ -67,6 +67,9 @@
         if most > BOUND:
             broken = f"FAILBACK: {text}, above {BOUND:g}"
     print("answers:", clients.statuses)
+    lost = sum(len(server.lost) for server in added)
+    print(f"requests lost with a server that crashed for it: {lost}")
+    system.record("lost", str(lost))
     return broken
 
 
