--- a/review/standins_3/parties.py
+++ b/review/standins_3/parties.py
@@ -24,6 +24,8 @@
 # and a little longer.
 DRAIN_SECONDS = 3.5
 COLD_PER_SECOND = 2.9
+HEALTH_PATH = "/health"
+QUEUE_LENGTH = 9
 # A rate well above that, at which a cold server crashes.
 CRASH_PER_SECOND = 5 * COLD_PER_SECOND
 WORK_SECONDS = 0.04
@@ -47,7 +49,7 @@
             "services": [
                 {
                     "name": service,
-                    "health_path": "/health",
+                    "health_path": HEALTH_PATH,
                     "max_conns": 390,
                     "protocol": "h1",
                     "tls": False,
@@ -128,9 +130,10 @@
 class Server:
     """One boot of a server.
 
-    It runs `slots` requests at a time and queues nine more. It checks in at its
-    start and about every heartbeat_s, at once again if nobody acknowledged it.
-    While it is cold, it crashes at CRASH_PER_SECOND, with what it has taken.
+    It runs `slots` requests at a time and queues QUEUE_LENGTH more. It checks
+    in at its start and about every heartbeat_s, at once again if nobody
+    acknowledged it. While it is cold, it crashes at CRASH_PER_SECOND, with what
+    it has taken.
     """
 
     def __init__(
@@ -254,7 +257,29 @@
         self.writers.discard(writer)
         writer.close()
 
+    async def _answer_health(self):
+        """Answers a request to the health path; none counts as work."""
+        lines = [f"X-Instance-Id: {self.id}"]
+        if self.waiting >= QUEUE_LENGTH:
+            lines.append("X-Not-Run: 1")
+            return _response("503 Service Unavailable", lines)
+        self.waiting += 1
+        async with self.free_slots:
+            self.waiting -= 1
+        left = max(0.0, self.cold_until - self.system.now())
+        lines.append(f"X-Cold-Ms: {left * 1000:.0f}")
+        lines.append(self._load_line())
+        if self.state != "ready":
+            return _response("503 Service Unavailable", lines)
+        return _response("200 OK", lines)
+
+    def _load_line(self):
+        running = self.slots - self.free_slots._value
+        return f"X-Server-Load: {running},{self.waiting},{self.slots}"
+
     async def _answer(self, head, body):
+        if head.words[:2] == ["GET", HEALTH_PATH]:
+            return await self._answer_health()
         id = head.headers.get("x-request-id", "")
         lines = [f"X-Request-Id: {id}"]
         if head.headers.get("x-expect-instance") != self.id:
@@ -262,7 +287,7 @@
             return _response("421 Misdirected Request", lines)
         self.arrivals.append((self.system.sent_at[id], self.system.now()))
         self.system.record("arrived", f"{self.id} {id}")
-        if self.waiting >= 9:
+        if self.waiting >= QUEUE_LENGTH:
             lines.append("X-Not-Run: 1")
             return _response("503 Service Unavailable", lines)
         self.taken.add(id)
@@ -275,9 +300,8 @@
             self.system.record("run", f"{self.id} {id}")
             await asyncio.sleep(self.work_seconds)
         self.taken.discard(id)
-        running = self.slots - self.free_slots._value
         lines.append(f"X-Reply-Stamp: {self.id}.{self.born}.{id}")
-        lines.append(f"X-Server-Load: {running},{self.waiting},{self.slots}")
+        lines.append(self._load_line())
         return _response("200 OK", lines, self.answer or b"done " + body)
 
     def _is_overrun(self):
